--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,606 @@
+// The decisions of opalswitch. Their interface (settings, events, actions) is
+// include/opalswitch/policy.hpp. docs/design.md tells the mechanism and when each departure acts.
+#include "opalswitch/policy.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "state.hpp"
+
+namespace opalswitch {
+namespace {
+
+// ---- Constants. General choices of the mechanism, tied to no deployment. ------------------------
+
+constexpr Millis kSweepEvery = 10;      // ms between sweeps: queue expiry
+constexpr Millis kAnswerBefore = 20;    // ms before the client leaves: two sweeps, timers may come late
+constexpr double kStartRate = 1000;     // tokens/s a server: "starting high", far above any use
+constexpr double kRaise = 0.3;          // tokens/s gained by each timely answer
+constexpr double kRaiseShare = 0.05;    // part of the rate gained by it at the most
+constexpr double kCut = 0.85;           // the rate keeps this much at a cut
+constexpr double kTolerated = 0.2;      // failing share of recent outcomes that cuts the rate
+constexpr double kToleratedMany = 0.1;  // the same where many share a server: none sees much, all add up
+constexpr double kShareBurst = 3;       // requests of its share that a tenant may send at once, at the least
+constexpr Millis kBurst = 50;           // ms of refill that the bucket holds
+constexpr double kCreditCap = 4;        // MCF credit stays within +-this many requests
+constexpr double kFast = 0.1;           // weight of a new sample in a server's latency
+constexpr double kSteady = 0.02;        // the same in the average whose floor is the uncrowded latency
+constexpr double kSlow = 0.01;          // weight of a new sample in a class's latency
+constexpr double kBaseDrift = 0.001;    // how fast the uncrowded latency follows upwards
+constexpr double kSlack = 1.1;          // uncrowded latency times this is no crowding yet
+constexpr double kWarmSlack = 2;        // the same where latency moves with the keys too
+constexpr double kBusySpare = 0.07;     // utilisation kept free of growth, times the root of the gateways
+constexpr double kBusyGain = 4;         // how hard limits shrink beyond that
+constexpr double kBusyWeight = 0.3;     // weight of a new report in a server's utilisation
+constexpr double kSpareBusy = 0.6;      // utilisation above which spare traffic is held back
+constexpr double kSpareShare = 0.3;     // part of a limit open to traffic beyond its share
+constexpr double kManySharers = 8;      // gateways sharing a server beyond which none keeps a limit for it
+constexpr double kHeadroom = 0.7;       // growth of a limit, times its root: small servers grow little
+constexpr double kStartLimit = 8;       // requests, over all gateways, that an unmeasured server is given
+constexpr double kReportStart = 2;      // the same where servers report: growth follows as they show room
+constexpr double kLeastLimit = 1;       // the same, least that a crowded server keeps
+constexpr double kErrWeight = 0.2;      // weight of a new outcome in a server's failing share
+constexpr double kErrOut = 0.3;         // failing share above which a server is suspect
+constexpr double kErrBack = 0.1;        // and below which, after trials, it is trusted again
+constexpr Millis kTrialGap = 300;       // ms to the first trial of a suspect; doubles
+constexpr Millis kTrialGapMost = 4000;  // ms; longest gap between trials
+constexpr Millis kLostAfter = 1000;     // ms of silence after which failed connections mean a death
+constexpr double kRetryShare = 0.1;     // further attempts earned by each first one
+constexpr double kRetryBurst = 20;      // further attempts that may be saved up
+constexpr double kFirstTry = 0.95;      // part of the most time left below which it is a further try
+constexpr double kWaitShare = 0.25;     // part of its time that a request waits for a token at most
+constexpr double kSharers = 40;         // gateways that use a server, where there are more than that
+constexpr double kLeastServers = 6;     // servers that a gateway uses at the least: some may fail together
+constexpr double kHeldPart = 0.5;       // part of both where connections stay open: full tables cost capacity
+constexpr double kCrossing = 1.3;       // cost of a server in another zone, times its own: crossing is priced
+constexpr double kPooled = 2;           // samples that the latency of a server's kind counts for
+constexpr double kColdShare = 0.4;      // part of the multiple that fells a cold server which it is sent
+constexpr Millis kAskGap = 100;         // ms before a failed list call is made again; doubles
+constexpr Millis kDoubt = 500;          // ms of each server's time that a first few answers are spread over
+constexpr Millis kSpentMemory = 1000;   // ms over which the spent rate is smoothed
+constexpr Millis kLongMemory = 10000;   // ms, the same where a few requests a second must give a rate
+constexpr double kFailMemory =
+    0.05;  // least weight of an outcome in the fleet's failing share; else about a second's
+
+}  // namespace
+
+class Policy::Impl : private State {
+ public:
+  Impl(Settings settings, std::uint64_t seed) {
+    set_ = std::move(settings);
+    random_.seed(seed);
+    const double worth = Validate(set_);
+    const auto& fields = set_.report_fields;
+    place_ = set_.index < 0 ? Uniform() : std::fmod(set_.index * 0.6180339887498949, 1.0);
+    busy_at_ = std::find(fields.begin(), fields.end(), "util") - fields.begin();
+    for (const ClassSettings& c : set_.classes) {
+      class_index_[c.name] = static_cast<int>(classes_.size());
+      classes_.emplace_back().set = c;
+      classes_.back().weight = worth > 0 ? c.worth / worth : 1.0 / static_cast<double>(set_.classes.size());
+    }
+    for (const TenantSettings& t : set_.tenants) {
+      tenants_[t.name].per_ms = t.quota_per_s / set_.gateways / 1000;
+    }
+  }
+
+  void Handle(Millis now, const Event& event, std::vector<Action>& out) {
+    out_ = &out;
+    Refill(now);
+    if (!std::exchange(started_, true)) Sweep();
+    std::visit([this](const auto& e) { On(e); }, event);
+    Release();
+  }
+
+ private:
+  // ---- Membership ------------------------------------------------------------------------------
+
+  void On(const ServerNews& news) {
+    if (news.kind == ServerNews::Kind::kFailed) {
+      // The list service may be swamped: ask again later each time, never all gateways at once.
+      ask_gap_ = std::min(std::max(kAskGap, ask_gap_ * 2), set_.ask_within / 4);
+      ask_at_ = now_ + ask_gap_ * (0.5 + Uniform());
+      return;
+    }
+    ask_gap_ = 0;
+    if (news.kind == ServerNews::Kind::kFull) {
+      for (auto& [id, b] : servers_) b.up = false;
+    }
+    for (const Server& s : news.servers) Learn(s);
+    for (auto it = servers_.begin(); it != servers_.end();) {
+      it = !it->second.up && it->second.refs == 0 ? servers_.erase(it) : std::next(it);
+    }
+    up_ = 0;
+    for (auto& [id, b] : servers_) up_ += b.up;
+    ChooseSubset();
+  }
+
+  // Subsetting: where many gateways share the servers each keeps to a few, for a few requests a second over
+  // all tell nothing of any, and connections fill the servers' tables. Gateways start by the golden ratio of
+  // their index: any run of them covers the ring, on which kinds lie evenly. The next comes in for one that
+  // is ejected.
+  void ChooseSubset() {
+    OrderRing();
+    const double all = static_cast<double>(ring_.size());
+    const double part = set_.streams > 1 ? kHeldPart : 1;
+    const double wanted = part * std::max(kLeastServers, kSharers * all / set_.gateways);
+    sharers_ = std::max(1.0, set_.gateways * std::min(1.0, wanted / std::max(1.0, all)));
+    double chosen = 0;
+    for (std::size_t i = 0; i < ring_.size() && chosen < wanted; ++i) {
+      Backend& b = *ring_[(i + static_cast<std::size_t>(place_ * all)) % ring_.size()].second;
+      b.mine = true;
+      chosen += !b.suspect;
+    }
+  }
+
+  void Learn(const Server& s) {
+    const auto [entry, added] = servers_.try_emplace(s.id);
+    Backend& b = entry->second;
+    const bool restarted = added || s.started_at > b.info.started_at;
+    b.info = s;
+    b.kind = &kinds_[s.kind];
+    b.hash = Hash(s.id);
+    b.up = s.state == ServerState::kUp;
+    if (!(b.info.weight > 0) || !std::isfinite(b.info.weight)) b.info.weight = 1;
+    if (restarted) Renew(b, s.started_at > 0 ? s.started_at : kNever);  // 0: up for long
+  }
+
+  // A new process: cold, and nothing known of the old one holds for it.
+  void Renew(Backend& b, Millis since) {
+    b.cold_since = std::max(b.cold_since, since);
+    b.cold_credit = Uniform();
+    b.credit_at = now_;
+    b.latency = b.steady = b.base = b.failing = b.busy = b.samples = 0;
+    b.limit = b.places = StartLimit();
+    b.suspect = b.lost = false;
+    b.trial_gap = kTrialGap;
+  }
+
+  // ---- Server readiness ------------------------------------------------------------------------
+
+  // The share of its capacity that a started server surely has by now.
+  double Warmth(const Backend& b) const {
+    const Millis age = now_ - b.cold_since;
+    if (age >= set_.cold_for) return 1;
+    return set_.cold_from + (1 - set_.cold_from) * std::max(0.0, age) / set_.cold_for;
+  }
+
+  // Rule 4: a cold server earns credit by what warm ones answer here. It starts with a chance part of a
+  // request: one request each from hundreds of gateways at once would push it over.
+  bool WithinBudget(Backend& b) {
+    const double warmth = Warmth(b);
+    if (warmth >= 1) return true;
+    const double earned =
+        kColdShare * set_.fall_multiple * warmth * b.info.weight * reference_ * (now_ - b.credit_at);
+    b.cold_credit = std::min(1.0, b.cold_credit + earned);
+    b.credit_at = now_;
+    return b.cold_credit >= 1;
+  }
+
+  // What a warm server of size 1 answers to this gateway, per ms: answers, not sends, for in a jam more is
+  // sent than any server can do. Where none was warm yet: its part of what arrives.
+  void LearnReference(Millis passed) {
+    double all = 0;
+    const double keep = std::exp(-passed / kLongMemory);
+    warm_time_ *= keep;
+    warm_served_ *= keep;
+    for (const auto& [id, b] : servers_) {
+      if (!b.up || b.suspect) continue;
+      all += b.info.weight;
+      if (Warmth(b) >= 1) warm_time_ += passed * b.info.weight;
+    }
+    reference_ = warm_time_ > 0 ? warm_served_ / (warm_time_ + kDoubt * all) : arriving_ / std::max(1.0, all);
+  }
+
+  double Slack() const { return set_.warm_keys ? kWarmSlack : kSlack; }
+  bool Ready(Backend& b, bool in_share) {
+    // Where many share a server, a limit each is a fraction of a request learned from next to nothing. There
+    // the rate alone admits, and what is beyond a share goes only while all goes well: it took tokens like
+    // any.
+    if (sharers_ > kManySharers) return (in_share || failing_ < kToleratedMany) && WithinBudget(b);
+    if (now_ < b.rests_until) return false;
+    const double part = in_share || b.kind->busy < kSpareBusy ? 1 : kSpareShare;
+    return b.in_flight < b.places * part && WithinBudget(b);
+  }
+
+  void Suspect(Backend& b) {
+    if (!std::exchange(b.suspect, true)) {
+      Say("server " + b.info.id + " not ready: failing");
+      ChooseSubset();
+    }
+    b.next_trial = now_ + b.trial_gap * (0.75 + 0.5 * Uniform());
+    b.trial_gap = std::min(b.trial_gap * 2, kTrialGapMost);
+  }
+
+  // How far a server's report says that it is too busy for many gateways, none knowing what the others send
+  // next.
+  double Overuse(const Backend& b) const {
+    return (b.busy + b.kind->busy) / 2 - (1 - kBusySpare * std::sqrt(set_.gateways));
+  }
+
+  void Hear(Backend& b, const std::vector<double>& load) {
+    if (busy_at_ >= load.size() || !(load[busy_at_] >= 0)) return;
+    const double busy = std::min(load[busy_at_], 1.1);  // noise may show more than all
+    b.busy += kBusyWeight * (busy - b.busy);
+    b.kind->busy += kBusyWeight / 3 * (busy - b.kind->busy);
+  }
+
+  void Judge(Backend& b, const Flow& flow, const Outcome& outcome) {
+    const bool served = outcome.result == Result::kServed;
+    if (outcome.result == Result::kRejected) {  // full is not ill; its latency shows the crowding
+      if (b.suspect) Suspect(b);  // but one that hangs fills up: a trial that it turns away has failed
+      return;
+    }
+    // A crowded server fails connections too: only one that long served nothing may be a new process.
+    const bool dropped = outcome.result == Result::kConnectFailed || outcome.result == Result::kReset;
+    if (dropped && b.failing >= kErrWeight && now_ - b.last_served > kLostAfter) b.lost = true;
+    // One slow request among others that were answered meanwhile says nothing about the server.
+    const bool heavy = outcome.result == Result::kTimedOut && b.last_served > now_ - outcome.latency;
+    if (served) b.last_served = now_;
+    if (served && Warmth(b) >= 1) warm_served_ += 1;
+    if (!heavy) b.failing += kErrWeight * ((served ? 0.0 : 1.0) - b.failing);
+    if (served && b.suspect) {
+      b.next_trial = now_;
+      b.trial_gap = kTrialGap;
+      b.suspect = b.failing >= kErrBack;
+      if (b.lost) Renew(b, now_);
+      if (!b.suspect) {
+        Say("server " + b.info.id + " ready again");
+        ChooseSubset();
+      }
+    } else if (!served && !heavy && (b.failing > kErrOut || b.suspect)) {
+      Suspect(b);
+    }
+    const double sample = outcome.latency / Relative(flow.cls);
+    // A failure never lowers the latency: fast errors would look like a fast server.
+    if (served || sample > b.latency) Measure(b, sample, served);
+    // A few gateways may have to share a server that takes fewer requests than there are gateways.
+    if (b.limit < 1) b.rests_until = now_ + outcome.latency * (1 / b.limit - 1);
+    // Drawn anew each time: rounding up would crowd a server by a request for each gateway.
+    b.places = std::max(1.0, std::floor(b.limit + Uniform()));
+  }
+
+  // Learns the limit of own requests that a server takes uncrowded, from how its latency grows.
+  void Measure(Backend& b, double sample, bool served) {
+    ++b.samples;
+    b.latency += std::max(kFast, 1.0 / b.samples) * (sample - b.latency);
+    Kind& k = *b.kind;
+    ++k.samples;
+    k.latency += std::max(kFast / 2, 1.0 / k.samples) * (sample - k.latency);
+    if (served) LearnBase(b, sample);
+    if (b.base <= 0) return;
+    const double ratio = std::sqrt(b.latency / b.base * k.latency / k.base);
+    const double overuse = Overuse(b);
+    const double gradient = std::clamp(std::min(Slack() / ratio, 1 - kBusyGain * overuse), 0.2, 1.0);
+    const double growth = overuse > 0 || !served ? 0 : kHeadroom * std::sqrt(b.limit / sharers_);
+    const double target = b.limit * gradient + growth;
+    if (target > b.limit && 2.0 * (b.in_flight + 1) < b.limit) return;  // not in use: no evidence
+    b.limit = std::max(LeastLimit(), b.limit + (target - b.limit) / std::max(2.0, b.limit));
+  }
+
+  void LearnBase(Backend& b, double sample) {
+    Kind& k = *b.kind;
+    k.steady += std::max(kSteady, 1.0 / k.samples) * (sample - k.steady);
+    if (k.samples < 20 || k.steady < k.base) k.base = k.steady;
+    k.base += kBaseDrift / 4 * (k.steady - k.base);
+    b.steady += std::max(kSteady, 1.0 / b.samples) * (sample - b.steady);
+    const double known = std::min(1.0, b.samples * kSteady);
+    b.base = known < 1 ? known * b.steady + (1 - known) * k.base : std::min(b.base, b.steady);
+    b.base += kBaseDrift * (b.latency - b.base);
+  }
+
+  // A server that keeps warm for its keys holds more before it is crowded, from the start on.
+  double StartLimit() const {
+    return (busy_at_ < set_.report_fields.size() ? kReportStart : kStartLimit * Slack() / kSlack) / sharers_;
+  }
+  double LeastLimit() const { return kLeastLimit / sharers_; }
+
+  // ---- Pick ------------------------------------------------------------------------------------
+
+  double Cost(const Backend& b) {
+    // A few samples of a server tell little: where many share it they are shrunk toward those of its kind.
+    const double pooled = sharers_ > kManySharers && b.kind->latency > 0 ? kPooled : 0;
+    const double own = std::min(1.0 * b.samples, 1 / kFast), all = own + pooled;
+    const double latency = (own * b.latency + pooled * b.kind->latency) / std::max(1.0, all);
+    const double crossing = b.info.zone == set_.zone ? 1 : kCrossing;
+    return crossing * (b.in_flight + 1) * (all > 0 ? latency : std::max(1.0, Median()));
+  }
+
+  // Rule 2: a keyed request that may have run stays with the servers that drop its repeats.
+  bool Allowed(const Flow& flow, const Backend& b) const {
+    const ClassSettings& c = classes_[flow.cls].set;
+    const Attempt* first = c.effect == Effect::kKeyed ? flow.FirstRun() : nullptr;
+    if (first == nullptr) return true;
+    if (now_ - first->sent >= c.repeat_window) return false;
+    const Server& at = first->server->info;
+    if (c.group == Group::kZone) return at.zone == b.info.zone;
+    return c.group == Group::kAll || at.cell == b.info.cell;
+  }
+
+  // The better of two ready servers by (own in-flight + 1) x smoothed latency, or null.
+  Backend* Pick(const Flow& flow) {
+    const bool repeatable = classes_[flow.cls].set.effect == Effect::kSafe && flow.attempts.empty();
+    const Backend* last = flow.attempts.empty() ? nullptr : flow.attempts.back().server;
+    candidates_.clear();
+    for (auto& [id, b] : servers_) {
+      if (!b.mine || !b.up || &b == last || !Allowed(flow, b)) continue;
+      // A suspect returns by one trial at a time, with a request that may run again.
+      if (b.suspect) {
+        if (repeatable && now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) return &b;
+        continue;
+      }
+      if (Ready(b, flow.in_share)) candidates_.push_back({0, &b});
+    }
+    if (candidates_.empty()) return nullptr;
+    if (candidates_.size() > 2) {
+      if (set_.warm_keys && flow.key != 0) {
+        // Weighted rendezvous: lowest first; a server's coming or going moves only its own keys.
+        for (auto& [rank, b] : candidates_) rank = -std::log(Fraction(flow.key ^ b->hash)) / b->info.weight;
+        std::partial_sort(candidates_.begin(), candidates_.begin() + 2, candidates_.end(),
+                          [](const auto& x, const auto& y) { return x.first < y.first; });
+      } else {
+        const std::size_t n = candidates_.size();
+        std::swap(candidates_[0], candidates_[random_() % n]);
+        std::swap(candidates_[1], candidates_[1 + random_() % (n - 1)]);
+      }
+    }
+    Backend* const one = candidates_.front().second;
+    Backend* const two = candidates_.size() > 1 ? candidates_[1].second : one;
+    return Cost(*two) < Cost(*one) ? two : one;
+  }
+
+  // ---- Bucket and rate -------------------------------------------------------------------------
+
+  void Refill(Millis now) {
+    const Millis passed = started_ ? std::max(0.0, now - now_) : 0;
+    now_ = started_ ? std::max(now_, now) : std::isfinite(now) ? now : 0;  // this order also outlives NaN
+    const bool first = rate_ <= 0 && up_ > 0;
+    if (first) rate_ = kStartRate * up_;
+    const double full = std::max(2.0, rate_ * kBurst / 1000);
+    tokens_ = first ? full : std::min(tokens_ + rate_ * passed / 1000, full);
+    spent_rate_ *= std::exp(-passed / (kSpentMemory * (sharers_ > kManySharers ? 4 : 1)));
+    arriving_ *= std::exp(-passed / kLongMemory);
+  }
+
+  // Failures that one server explains eject it; only those of servers held ready move the rate.
+  void MoveRate(const Backend& b, const Flow& flow, const Outcome& outcome) {
+    if (b.suspect) return;
+    const bool served = outcome.result == Result::kServed;
+    const bool timely = served && now_ <= flow.aim_at;
+    failing_ += std::clamp(1 / (1 + rate_), kFailMemory, kErrWeight) * ((timely ? 0.0 : 1.0) - failing_);
+    if (timely) {
+      rate_ = std::min(rate_ + std::min(kRaise, kRaiseShare * rate_), kStartRate * std::max(1, up_));
+    } else if (!timely && failing_ > (sharers_ > kManySharers ? kToleratedMany : kTolerated) &&
+               now_ >= cut_after_) {
+      rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, spent_rate_) * kCut);
+      cut_after_ = now_ + std::max(100.0, Median());  // one cut a round trip
+      Say("rate cut to " + std::to_string(static_cast<int>(rate_)) + "/s");
+    }
+  }
+
+  // ---- Queues and Most Credit First ------------------------------------------------------------
+
+  bool InShare(const std::string& tenant) {
+    if (tenants_.empty()) return true;
+    const auto it = tenants_.find(tenant);
+    if (it == tenants_.end()) return false;  // an unknown tenant has no share
+    Tenant& t = it->second;
+    if (t.per_ms <= 0) return true;
+    t.tokens = std::min(t.tokens + (now_ - t.at) * t.per_ms, std::max(kShareBurst, t.per_ms * 1000));
+    t.at = now_;
+    if (t.tokens < 1) return false;
+    t.tokens -= 1;
+    return true;
+  }
+
+  void On(const Request& r) {
+    const auto found = class_index_.find(r.class_name);
+    if (flows_.contains(r.id)) return;
+    if (found == class_index_.end()) return Emit(Refuse{r.id, 0});  // no such class: never sent
+    Flow& flow = flows_[r.id];
+    Tier& c = classes_[found->second];
+    flow.id = r.id;
+    flow.cls = found->second;
+    flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
+    flow.arrived = now_;
+    arriving_ += 1 / kLongMemory;
+    const Millis left = std::isfinite(r.time_left) ? std::max(0.0, r.time_left) : 0.0;
+    flow.leaves_at = now_ + left;
+    // A further try has less time left than a first one. If its aim is long past, it is worth as little
+    // as what a tenant sends beyond its share: a jam would feed on answers that come too late.
+    c.most_left = std::max(c.most_left, left);
+    const Millis spent = left < kFirstTry * c.most_left ? std::max(0.0, c.set.deadline - left) : 0;
+    const bool late = spent >= c.set.aim;
+    flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
+    flow.in_share = !late && InShare(r.tenant);
+    retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
+    if (late && c.set.late_worth <= 0) return Answer(flow);           // worth nothing any more
+    if (now_ >= flow.leaves_at - kAnswerBefore) return Answer(flow);  // no sweep may come in time
+    if (queued_ == 0 && tokens_ > 0) {
+      if (Backend* b = Pick(flow)) return Dispatch(flow, *b);
+    }
+    Enqueue(flow);
+  }
+
+  void Enqueue(Flow& flow) {
+    Tier& c = classes_[flow.cls];
+    const double most = spent_rate_ * c.set.aim / 1000 + 32;  // more can't be served in time
+    if (static_cast<double>(c.Size()) >= most) {
+      if (!flow.in_share || c.over_share.empty()) return Answer(flow);
+      Flow* evicted = c.over_share.back();
+      Unqueue(*evicted);
+      Answer(*evicted);
+    }
+    Hold(flow, flow.in_share ? c.in_share : c.over_share);
+  }
+
+  // A token must come soon: what waits longer is sent with too little time left, fails, and has the rate cut
+  // again. And the answer must come before the client leaves.
+  Millis HoldUntil(const Flow& flow) const {
+    return std::min(flow.arrived + kWaitShare * (flow.aim_at - flow.arrived), flow.leaves_at - kAnswerBefore);
+  }
+
+  // All, not the heads alone: one with less time than those before it must not run out of it behind them.
+  void ExpireQueued() {
+    due_.clear();
+    for (Tier& c : classes_) {
+      for (auto* line : {&c.retries, &c.in_share, &c.over_share}) {
+        for (Flow* flow : *line) {
+          if (now_ >= HoldUntil(*flow)) due_.push_back(flow);
+        }
+      }
+    }
+    for (Flow* flow : due_) {
+      Unqueue(*flow);
+      Answer(*flow);
+    }
+  }
+
+  // Spends tokens on the queues: each token goes to the backlogged class with the most credit.
+  void Release() {
+    std::uint64_t stuck = 0;  // classes whose head no server can take now
+    while (queued_ > 0 && tokens_ > 0) {
+      Tier* best = nullptr;
+      for (Tier& c : classes_) {
+        if (c.Size() == 0 || (stuck >> (&c - classes_.data()) & 1)) continue;
+        if (best == nullptr || c.credit + c.weight > best->credit + best->weight) best = &c;
+      }
+      if (best == nullptr) return;
+      Flow& flow = *best->Line().front();
+      Backend* b = Pick(flow);
+      if (b == nullptr) {
+        stuck |= std::uint64_t{1} << (best - classes_.data());
+        continue;
+      }
+      // Where all backlogged classes are in debt the least indebted goes: a token never idles.
+      for (Tier& c : classes_) c.credit = std::min(kCreditCap, c.credit + (c.Size() > 0 ? c.weight : 0));
+      best->credit = std::max(-kCreditCap, best->credit - 1);
+      Unqueue(flow);
+      Dispatch(flow, *b);
+    }
+  }
+
+  // ---- Attempts and answers --------------------------------------------------------------------
+
+  void Dispatch(Flow& flow, Backend& b) {
+    const Millis until = classes_[flow.cls].set.late_worth > 0 ? flow.leaves_at : flow.aim_at;
+    tokens_ -= 1;
+    spent_rate_ += 1000 / kSpentMemory / (sharers_ > kManySharers ? 4 : 1);
+    if (Warmth(b) < 1) b.cold_credit -= 1;
+    ++b.in_flight;
+    ++b.refs;
+    flow.attempts.push_back({&b, now_});
+    Emit(Send{flow.id, b.info.id, std::max(1.0, until - now_)});
+  }
+
+  void On(Outcome o) {
+    Flow* const known = Find(o.request);
+    if (!known || o.attempt < 0 || o.attempt >= static_cast<int>(known->attempts.size())) return;
+    Flow& flow = *known;
+    Attempt& attempt = flow.attempts[o.attempt];
+    if (!std::exchange(attempt.out, false)) return;
+    if (!std::isfinite(o.latency) || o.latency < 0)
+      o.latency = now_ - attempt.sent;  // never into an estimate
+    attempt.may_have_run =
+        o.result != Result::kRejected && o.result != Result::kConnectFailed && o.result != Result::kNotSent;
+    Backend& b = *attempt.server;
+    --b.in_flight;
+    if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
+    if (o.result != Result::kCancelled && o.result != Result::kNotSent) {  // these tell nothing of the server
+      MoveRate(b, flow, o);  // first: by whether the server was held ready until now
+      Hear(b, o.load);
+      Judge(b, flow, o);
+    }
+    if (o.finished || o.result == Result::kServed) flow.answered = true;
+    if (!flow.answered && !flow.AnyOut() && !flow.queued) return TryAgain(flow, o.result);
+    Settle(flow);
+  }
+
+  void LearnClass(Tier& c, Millis latency) {
+    c.latency += std::max(kSlow, 1.0 / ++c.samples) * (latency - c.latency);
+    mean_latency_ += std::max(kSlow, 1.0 / ++samples_) * (latency - mean_latency_);
+  }
+
+  // Another attempt only where it is legal, can still be in time, and the server was to blame.
+  void TryAgain(Flow& flow, Result result) {
+    const ClassSettings& c = classes_[flow.cls].set;
+    const bool legal = flow.NeverRan() || c.effect != Effect::kUnsafe;
+    const bool heavy = result == Result::kTimedOut && !flow.attempts.back().server->suspect;
+    const bool in_time = now_ + classes_[flow.cls].latency < flow.aim_at;
+    const bool more = static_cast<int>(flow.attempts.size()) < set_.max_attempts;
+    if (!legal || heavy || !in_time || !more || retry_budget_ < 1) return Answer(flow);
+    retry_budget_ -= 1;
+    Hold(flow, classes_[flow.cls].retries);
+  }
+
+  // The final answer to a request with no attempt out. A refusal says that trying again is harmless.
+  void Answer(Flow& flow) {
+    const ClassSettings& c = classes_[flow.cls].set;
+    const bool harmless = flow.NeverRan() || c.effect == Effect::kSafe ||
+                          (c.effect == Effect::kKeyed && c.group == Group::kAll);
+    Emit(harmless ? Action(Refuse{flow.id, RetryAfter()}) : Action(Fail{flow.id}));
+    flow.answered = true;
+    Settle(flow);
+  }
+
+  Millis RetryAfter() const {
+    if (!set_.retry_after) return 0;
+    return std::min(set_.max_retry_after, 1000 * static_cast<double>(queued_) / std::max(spent_rate_, 1.0));
+  }
+
+  // Forgets a request that is answered and has nothing out. `flow` may be gone afterwards.
+  void Settle(Flow& flow) {
+    if (!flow.answered || flow.queued || flow.AnyOut()) return;
+    for (const Attempt& a : flow.attempts) --a.server->refs;
+    flows_.erase(flow.id);
+  }
+
+  void On(const ClientGone& gone) {
+    Flow* const known = Find(gone.request);
+    if (known == nullptr) return;
+    Flow& flow = *known;
+    Unqueue(flow);
+    flow.answered = true;
+    for (std::size_t i = 0; set_.may_cancel && i < flow.attempts.size(); ++i) {
+      if (flow.attempts[i].out) Emit(Cancel{flow.id, static_cast<int>(i)});
+    }
+    Settle(flow);
+  }
+
+  void On(const StreamStarted& s) {  // the client owns it now; its outcome is still awaited
+    if (Flow* const flow = Find(s.request)) flow->answered = true;
+  }
+
+  void On(const TimerDue&) { Sweep(); }
+
+  void Sweep() {
+    Emit(SetTimer{kSweepEvery, "sweep"});
+    if (set_.ask_for_list && now_ >= ask_at_) {
+      Emit(Watch{});
+      ask_at_ = std::numeric_limits<Millis>::infinity();
+    }
+    LearnReference(std::min(kLongMemory, now_ - std::exchange(swept_at_, now_)));
+    ExpireQueued();
+  }
+
+  void Emit(Action action) { out_->push_back(std::move(action)); }
+
+  // A log line, at most a few a second: trouble must not flood the gateway's log.
+  void Say(std::string text) {
+    if (now_ < quiet_until_) return;
+    quiet_until_ = now_ + 200;
+    Emit(Log{std::move(text)});
+  }
+};
+
+Policy::Policy(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Policy::~Policy() = default;
+Policy::Policy(Policy&&) noexcept = default;
+Policy& Policy::operator=(Policy&&) noexcept = default;
+
+void Policy::handle(Millis now, const Event& event, std::vector<Action>& actions) {
+  impl_->Handle(now, event, actions);
+}
+
+}  // namespace opalswitch
--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,817 @@
+// The mechanism and each departure from it, one behaviour a test.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <limits>
+#include <map>
+#include <set>
+#include <stdexcept>
+
+#include "gateway.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+TEST(Settings, ThatCannotWorkNameTheField) {
+  const auto fault = [](auto change) -> std::string {
+    Settings s = MakeSettings();
+    change(s);
+    try {
+      Policy policy(s, 1);
+    } catch (const std::invalid_argument& error) {
+      return error.what();
+    }
+    return "";
+  };
+  EXPECT_NE(fault([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
+  EXPECT_NE(fault([](Settings& s) { s.classes[0].deadline = 0; }).find("deadline"), std::string::npos);
+  EXPECT_NE(fault([](Settings& s) { s.classes[0].aim = -1; }).find("aim"), std::string::npos);
+  EXPECT_NE(fault([](Settings& s) { s.tenants = {{"t", -1}}; }).find("quota"), std::string::npos);
+  EXPECT_NE(fault([](Settings& s) { s.gateways = 0; }).find("gateways"), std::string::npos);
+  EXPECT_EQ(fault([](Settings&) {}), "");
+}
+
+TEST(Direct, RequestGoesStraightOutWhenQueuesAreEmpty) {
+  Gateway g;
+  g.Servers(2);
+  EXPECT_EQ(Gateway::Count<Send>(g.Ask("a")), 1);
+}
+
+TEST(Direct, NothingIsSentBeforeTheListAndTheHeldRequestIsRefusedInTime) {
+  Gateway g;
+  EXPECT_EQ(Gateway::Count<Send>(g.Ask("a")), 0);
+  EXPECT_EQ(Gateway::Count<Refuse>(g.Pass(990)) + Gateway::Count<Refuse>(g.Pass(20)), 1);
+}
+
+TEST(Queues, HeldRequestOfAnUnmeasuredClassIsAnsweredBeforeItsClientLeaves) {
+  for (const Millis left : {0.0, 1.0, 9.0, 21.0, 33.0, 456.6}) {  // no server: nothing can be sent
+    Gateway g;
+    int answered = Gateway::Count<Refuse>(g.Ask("a", "view", left));
+    if (left > 0) answered += Gateway::Count<Refuse>(g.Pass(left));
+    EXPECT_EQ(answered, 1) << left;
+  }
+}
+
+TEST(Queues, HeldRequestWithLessTimeBehindOthersIsAnsweredInItsTime) {
+  Settings s = MakeSettings();
+  s.classes[0].late_worth = 0.5;
+  Gateway g(s);
+  g.Ask("long", "view", 2000);
+  g.Ask("short", "view", 100);
+  EXPECT_EQ(Gateway::Count<Refuse>(g.Pass(110)), 1);
+}
+
+TEST(Queues, UnknownClassIsRefusedAndUnknownIdsAreIgnored) {
+  Gateway g;
+  g.Servers(2);
+  EXPECT_EQ(Gateway::Count<Refuse>(g.Ask("a", "no such class")), 1);
+  EXPECT_TRUE(g.End("ghost", "s0", Result::kServed, 10).empty());
+  EXPECT_TRUE(g.Do(ClientGone{"ghost"}).empty());
+}
+
+// Fills one server to its limit, then frees it answer by answer, and counts who is released.
+std::map<std::string, int> ReleasedByClass(Settings settings, int releases) {
+  Gateway g(std::move(settings));
+  g.Servers(1);
+  std::vector<std::string> out;
+  for (int i = 0; i < 40; ++i) {
+    const std::string id = "fill" + std::to_string(i);
+    if (!Gateway::SentTo(g.Ask(id)).empty()) out.push_back(id);
+  }
+  for (int i = 0; i < 30; ++i) {
+    g.Ask("view" + std::to_string(i), "view");
+    g.Ask("pay" + std::to_string(i), "pay");
+  }
+  std::map<std::string, int> released;
+  for (int i = 0; i < releases && !out.empty(); ++i) {
+    const std::string id = out.front();
+    out.erase(out.begin());
+    for (const Action& a : g.End(id, "s0", Result::kServed, 10)) {
+      if (const auto* send = std::get_if<Send>(&a)) {
+        out.push_back(send->request);
+        released[send->request.substr(0, 3)]++;
+      }
+    }
+  }
+  return released;
+}
+
+TEST(MostCreditFirst, ReleasesBackloggedClassesByWeight) {
+  Settings s = MakeSettings();
+  s.classes = {MakeClass("view", Effect::kSafe, 1), MakeClass("pay", Effect::kSafe, 3)};
+  // The fill requests are of class view too and stand before its others.
+  const auto released = ReleasedByClass(s, 24);
+  int view = 0, pay = 0;
+  for (const auto& [name, n] : released) (name == "pay" ? pay : view) += n;
+  EXPECT_GE(view + pay, 20);
+  EXPECT_NEAR(static_cast<double>(pay) / (view + pay), 0.75, 0.1);
+}
+
+TEST(MostCreditFirst, OneBackloggedClassInDebtStillMoves) {
+  Settings s = MakeSettings();
+  s.classes = {MakeClass("view", Effect::kSafe, 1), MakeClass("pay", Effect::kSafe, 99)};
+  Gateway g(s);
+  g.Servers(1);
+  std::vector<std::string> out;
+  int served = 0;
+  for (int i = 0; i < 60; ++i) {
+    if (!Gateway::SentTo(g.Ask("r" + std::to_string(i))).empty()) out.push_back("r" + std::to_string(i));
+  }
+  while (!out.empty()) {
+    const std::string id = out.back();
+    out.pop_back();
+    ++served;
+    for (const Action& a : g.End(id, "s0", Result::kServed, 10)) {
+      if (const auto* send = std::get_if<Send>(&a)) out.push_back(send->request);
+    }
+  }
+  EXPECT_GT(served, 30);
+}
+
+TEST(Queues, FullOneRefuses) {
+  Gateway g;
+  int refused = 0;
+  for (int i = 0; i < 5000; ++i) refused += Gateway::Count<Refuse>(g.Ask("r" + std::to_string(i)));
+  EXPECT_GT(refused, 4000);
+}
+
+TEST(Tenants, TrafficWithinItsShareGoesFirst) {
+  Settings s = MakeSettings();
+  s.tenants = {{"small", 10}, {"big", 10}};
+  Gateway g(s);
+  for (int i = 0; i < 20; ++i) g.Ask("big" + std::to_string(i), "view", 2000, "big");
+  g.now += 150;
+  g.Ask("small", "view", 2000, "small");
+  g.Servers(1);
+  // Big's own share is in front, small comes before what big sent beyond it.
+  ASSERT_FALSE(g.sent.empty());
+  std::vector<std::string> order;
+  for (std::size_t i = 0; i < g.sent.size(); ++i) {
+    order.push_back(g.sent[i].request);
+    g.End(g.sent[i].request, "s0", Result::kServed, 20);
+  }
+  const auto at = std::find(order.begin(), order.end(), "small") - order.begin();
+  EXPECT_LE(at, 12);
+  EXPECT_EQ(order.size(), 21u);
+}
+
+TEST(Tenants, UnknownOneCountsAsBeyondAnyShareAndIsStillServed) {
+  Settings s = MakeSettings();
+  s.tenants = {{"known", 100}};
+  Gateway g(s);
+  g.Ask("stranger", "view", 2000, "nobody");
+  g.Ask("guest", "view", 2000, "known");
+  g.Servers(1);
+  g.Pass(10);
+  ASSERT_EQ(g.sent.size(), 2u);
+  EXPECT_EQ(g.sent[0].request, "guest");
+}
+
+TEST(Events, NonFiniteNumbersNeverReachAnEstimate) {
+  Gateway g;
+  Server odd = MakeServer("s0");
+  odd.weight = std::numeric_limits<double>::quiet_NaN();
+  g.List({odd, MakeServer("s1")});
+  Request r;
+  r.id = "nan";
+  r.class_name = "view";
+  r.time_left = std::numeric_limits<double>::infinity();
+  const std::string server = Gateway::SentTo(g.Do(r));
+  g.End("nan", server, Result::kServed, std::numeric_limits<double>::quiet_NaN());
+  g.Serve(50);
+  EXPECT_GE(g.sent.size(), 50u);
+  for (const Send& send : g.sent) EXPECT_TRUE(send.timeout > 0 && send.timeout < 1e6);
+}
+
+TEST(Events, OutcomeToldTwiceOrOfNoAttemptChangesNothing) {
+  Gateway g;
+  g.Servers(2);
+  const std::string server = Gateway::SentTo(g.Ask("a", "pay"));
+  EXPECT_EQ(Gateway::Count<Fail>(g.End("a", server, Result::kError, 5)), 1);
+  EXPECT_TRUE(g.End("a", server, Result::kError, 5).empty());
+  const std::string other = Gateway::SentTo(g.Ask("b"));
+  for (const int attempt : {-1, 1, 1000000})
+    EXPECT_TRUE(g.End("b", other, Result::kServed, 5, attempt).empty());
+  g.End("b", other, Result::kServed, 5);
+  EXPECT_TRUE(g.Do(ClientGone{"b"}).empty());
+  EXPECT_TRUE(g.Do(StreamStarted{"b", 0}).empty());
+}
+
+TEST(Events, OddTimesNeitherStopTheClockNorLoseARequest) {
+  const double nan = std::numeric_limits<double>::quiet_NaN();
+  for (const double odd : {nan, -1e12}) {
+    Gateway g;
+    g.now = odd;  // the first event of all already
+    g.Servers(2);
+    g.now = 5000;
+    const std::string server = Gateway::SentTo(g.Ask("a"));
+    ASSERT_FALSE(server.empty());
+    g.now = odd;
+    g.End("a", server, Result::kServed, -7);
+    g.List({});
+    EXPECT_EQ(Gateway::Count<Send>(g.Ask("held")), 0);
+    g.now = 5000;
+    EXPECT_EQ(Gateway::Count<Refuse>(g.Pass(300)), 1);
+  }
+}
+
+TEST(Events, ClockThatStandsStillNeitherCrashesNorFloods) {
+  Gateway g;
+  g.Servers(3);
+  int sent = 0, refused = 0;
+  for (int i = 0; i < 3000; ++i) {
+    for (const Action& a : g.Ask("r" + std::to_string(i))) {
+      sent += std::holds_alternative<Send>(a);
+      refused += std::holds_alternative<Refuse>(a);
+    }
+  }
+  EXPECT_GT(sent, 0);
+  EXPECT_GT(refused, 0);
+  EXPECT_EQ(Gateway::Count<Refuse>(g.Pass(300)), 3000 - sent - refused);
+}
+
+TEST(Events, EmptyAndStaleListsSendNothingToWhoeverIsGone) {
+  Gateway g;
+  g.Servers(3);
+  g.List({});
+  EXPECT_EQ(Gateway::SentTo(g.Ask("a")), "");
+  g.List({MakeServer("s1", "0", 50)});
+  EXPECT_EQ(Gateway::Count<Refuse>(g.Pass(300)) + static_cast<int>(g.sent.size()), 1);
+  g.Do(ServerNews{ServerNews::Kind::kFailed, {}});
+  EXPECT_NE(Gateway::SentTo(g.Ask("b")), "s0");
+}
+
+TEST(Pick, PrefersTheFasterServer) {
+  Gateway g;
+  g.Servers(2);
+  std::map<std::string, int> taken;
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id));
+    const Millis latency = server == "s0" ? 20 : 200;
+    taken[server]++;
+    g.now += latency;
+    g.End(id, server, Result::kServed, latency);
+  }
+  EXPECT_GT(taken["s0"], 5 * taken["s1"]);
+}
+
+TEST(Pick, FastErrorsDoNotLookFast) {
+  Settings s = MakeSettings();
+  Gateway g(s);
+  g.Servers(3);
+  g.Serve(60);
+  int bad = 0;
+  for (int i = 0; i < 100; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id, "pay"));
+    bad += server == "s1";
+    g.now += server == "s1" ? 1 : 50;
+    g.End(id, server, server == "s1" ? Result::kError : Result::kServed, server == "s1" ? 1 : 50);
+  }
+  EXPECT_LT(bad, 10);
+}
+
+TEST(Ready, CrowdedServerHoldsRequestsBack) {
+  Gateway g;
+  g.Servers(1);
+  g.Serve(40);
+  int out = 0;
+  for (int i = 0; i < 200; ++i) out += Gateway::Count<Send>(g.Ask("r" + std::to_string(i)));
+  EXPECT_GE(out, 1);
+  EXPECT_LT(out, 60);
+}
+
+// The hang test's fleet: three servers of settled latency, then s0 stays silent.
+// Eight requests each 20 ms; s0 answers nothing, so what it has times out after 100 ms. Returns how
+// many it was sent in the last second, and whether the rate was cut.
+std::pair<int, bool> SentToHungServer(int servers) {
+  Gateway g;
+  g.Servers(servers);
+  g.Serve(50 * servers);
+  bool cut = false;
+  int last = 0;
+  std::deque<std::pair<Millis, std::string>> stuck;
+  for (int round = 0; round < 150; ++round) {
+    std::map<std::string, std::string> sent;
+    for (int i = 0; i < 8; ++i) {
+      const std::string id = "r" + std::to_string(round) + "." + std::to_string(i);
+      if (const std::string to = Gateway::SentTo(g.Ask(id, "pay")); !to.empty()) sent[id] = to;
+    }
+    cut |= Gateway::Logged(g.Pass(20), "rate cut");
+    for (const auto& [id, to] : sent) {
+      if (to == "s0") {
+        stuck.emplace_back(g.now + 80, id);
+        last += round >= 100;
+      } else {
+        cut |= Gateway::Logged(g.End(id, to, Result::kServed, 20), "rate cut");
+      }
+    }
+    for (; !stuck.empty() && stuck.front().first <= g.now; stuck.pop_front()) {
+      cut |= Gateway::Logged(g.End(stuck.front().second, "s0", Result::kTimedOut, 100), "rate cut");
+    }
+  }
+  return {last, cut};
+}
+
+TEST(Hang, ServerWhoseRequestsTimeOutIsLeftAlone) { EXPECT_LE(SentToHungServer(3).first, 2); }
+
+TEST(Hang, OneHungServerDoesNotCutTheRate) { EXPECT_FALSE(SentToHungServer(4).second); }
+
+TEST(Hang, TrialThatTheFilledServerTurnsAwayIsNotRepeatedAtOnce) {
+  Gateway g;
+  g.Servers(3);
+  g.Serve(60);
+  int hung = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string to = Gateway::SentTo(g.Ask(id));
+    g.Pass(10);
+    if (to == "s0") {  // silent at first, then full
+      const bool silent = ++hung < 4;
+      if (silent) g.now += 200;
+      g.End(id, to, silent ? Result::kTimedOut : Result::kRejected, silent ? 200 : 1);
+    } else if (!to.empty()) {
+      g.End(id, to, Result::kServed, 10);
+    }
+  }
+  EXPECT_LT(hung, 15);
+}
+
+TEST(Rate, FailuresSpreadOverServersCutIt) {
+  Gateway g;
+  g.Servers(4);
+  g.Serve(100);
+  bool cut = false;
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id, "pay"));
+    g.now += 30;
+    if (server.empty()) continue;
+    cut |= Gateway::Logged(g.End(id, server, i % 2 ? Result::kError : Result::kServed, 30), "rate cut");
+  }
+  EXPECT_TRUE(cut);
+}
+
+TEST(Retry, RejectedRequestGoesToAnotherServer) {
+  Gateway g;
+  g.Servers(2);
+  const std::string first = Gateway::SentTo(g.Ask("a", "pay"));
+  const std::string second = Gateway::SentTo(g.End("a", first, Result::kRejected, 1));
+  EXPECT_FALSE(second.empty());
+  EXPECT_NE(first, second);
+}
+
+TEST(Retry, UnsafeRequestThatMayHaveRunFails) {
+  Gateway g;
+  g.Servers(2);
+  const std::string first = Gateway::SentTo(g.Ask("a", "pay"));
+  const auto actions = g.End("a", first, Result::kError, 1);
+  EXPECT_EQ(Gateway::Count<Send>(actions), 0);
+  EXPECT_EQ(Gateway::Count<Fail>(actions), 1);
+}
+
+TEST(Retry, KeyedRequestThatMayHaveRunStaysInItsCell) {
+  for (int seed = 0; seed < 20; ++seed) {
+    Gateway g(MakeSettings(), seed);
+    g.List({MakeServer("a0", "0"), MakeServer("a1", "0"), MakeServer("b0", "1"), MakeServer("b1", "1")});
+    const std::string first = Gateway::SentTo(g.Ask("a", "key"));
+    const std::string second = Gateway::SentTo(g.End("a", first, Result::kError, 1));
+    ASSERT_FALSE(second.empty());
+    EXPECT_EQ(first[0], second[0]);
+    EXPECT_NE(first, second);
+  }
+}
+
+TEST(Retry, KeyedRequestOfAZoneGroupStaysInItsZone) {
+  Settings s = MakeSettings();
+  s.classes[1].group = Group::kZone;
+  const auto server = [](std::string id, std::string zone, std::string cell) {
+    Server made = MakeServer(std::move(id), std::move(cell));
+    made.zone = std::move(zone);
+    return made;
+  };
+  int moved = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Gateway g(s, seed);
+    g.List({server("a0", "a", "0"), server("a1", "a", "1"), server("b0", "b", "0"), server("b1", "b", "1")});
+    const std::string first = Gateway::SentTo(g.Ask("r", "key"));
+    g.now += 20;
+    g.End("r", first, Result::kError, 20);
+    if (g.sent.size() < 2) continue;
+    ++moved;
+    EXPECT_EQ(g.sent[1].server[0], first[0]) << "another zone does not drop the repeat";
+    EXPECT_NE(g.sent[1].server, first);
+  }
+  EXPECT_GT(moved, 10);
+}
+
+TEST(Retry, BudgetBoundsFurtherAttempts) {
+  Gateway g;
+  g.Servers(300);
+  g.Serve(200);
+  int first = 0, further = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id));
+    g.now += 20;
+    if (server.empty()) continue;
+    ++first;
+    std::string next;
+    for (const Action& a : g.End(id, server, Result::kRejected, 20)) {
+      const auto* send = std::get_if<Send>(&a);
+      if (send != nullptr && send->request == id) next = send->server;
+    }
+    if (next.empty()) continue;
+    ++further;
+    g.now += 20;
+    g.End(id, next, Result::kServed, 20, 1);
+  }
+  EXPECT_GT(first, 100);
+  EXPECT_GT(further, 0);
+  EXPECT_LT(further, 0.1 * (first + 200) + 2);
+}
+
+TEST(Drain, NothingNewGoesToDrainingOrGoneOrUnlistedServers) {
+  Gateway g;
+  g.Servers(3);
+  Server draining = MakeServer("s0");
+  draining.state = ServerState::kDraining;
+  g.Do(ServerNews{ServerNews::Kind::kDelta, {draining}});
+  for (int i = 0; i < 6; ++i) EXPECT_NE(Gateway::SentTo(g.Ask("a" + std::to_string(i))), "s0");
+  g.List({MakeServer("s2")});
+  for (int i = 0; i < 4; ++i) {
+    const std::string to = Gateway::SentTo(g.Ask("b" + std::to_string(i)));
+    EXPECT_TRUE(to.empty() || to == "s2");
+  }
+}
+
+TEST(Cold, StartedServerGetsOnlyItsPart) {
+  Settings s = MakeSettings();
+  Gateway g(s);
+  g.now = 100000;
+  g.List({MakeServer("s0"), MakeServer("s1"), MakeServer("new", "0", g.now)});
+  auto taken = g.Serve(200, 10);  // 2 s
+  EXPECT_GE(taken["new"], 1);
+  // By now it surely has 0.36 of its capacity; a warm server took about half of all.
+  EXPECT_LT(taken["new"], 0.36 * taken["s0"] + 1);
+}
+
+TEST(Cold, ServerThatCouldNotBeReachedIsTreatedAsColdWhenItAnswersAgain) {
+  Gateway g;
+  g.now = 100000;
+  g.Servers(3);
+  g.Serve(90, 10);
+  int failed = 0;
+  g.now += 1100;
+  for (int i = 0; i < 100 && failed < 2; ++i) {
+    const std::string id = "f" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id, "pay"));
+    g.now += 10;
+    if (server == "s0") ++failed;
+    g.End(id, server, server == "s0" ? Result::kConnectFailed : Result::kServed, 10);
+  }
+  g.now += 1000;
+  auto taken = g.Serve(300, 10);
+  EXPECT_GE(taken["s0"], 1);
+  EXPECT_LT(taken["s0"], 75);  // a quarter of all: far from the third that it would take warm
+}
+
+TEST(Cold, FailedConnectionsOfAServerThatJustAnsweredDoNotMakeItCold) {
+  Gateway g;
+  g.now = 100000;
+  g.Servers(3);
+  g.Serve(90, 10);
+  int taken = 0, failed = 0;
+  for (int i = 0; i < 600; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id));
+    g.now += 10;
+    if (i >= 300) taken += server == "s0";
+    if (server == "s0" && failed < 2) {
+      ++failed;
+      const std::string next = Gateway::SentTo(g.End(id, server, Result::kConnectFailed, 10));
+      if (!next.empty()) g.End(id, next, Result::kServed, 10, 1);
+    } else if (!server.empty()) {
+      g.End(id, server, Result::kServed, 10);
+    }
+  }
+  EXPECT_EQ(failed, 2);
+  EXPECT_GT(taken, 75);
+}
+
+TEST(Ready, SpareTrafficLeavesBusyServersAlone) {
+  Settings s = MakeSettings();
+  s.tenants = {{"small", 1000}, {"big", 0.001}};
+  s.report_fields = {"util"};
+  const auto taken = [&](const char* tenant, double utilisation) {
+    Gateway g(s);
+    g.Servers(1);
+    for (int i = 0; i < 100; ++i) {
+      const std::string id = "w" + std::to_string(i);
+      g.Ask(id, "view", 2000, "small");
+      g.now += 20;
+      g.Do(Outcome{id, 0, "s0", Result::kServed, true, 20, {utilisation}});
+    }
+    int out = 0;
+    g.Ask("own", "view", 2000, "big");  // uses up big's share, if any
+    g.End("own", "s0", Result::kServed, 20);
+    for (int i = 0; i < 30; ++i) {
+      out += Gateway::Count<Send>(g.Ask("r" + std::to_string(i), "view", 2000, tenant));
+    }
+    return out;
+  };
+  EXPECT_GE(taken("small", 0.8), 2);
+  EXPECT_LT(taken("big", 0.8), taken("small", 0.8));
+  EXPECT_EQ(taken("big", 0.3), taken("small", 0.3));
+}
+
+// Serves requests one after the other with the server's report of its utilisation, then counts how
+// many it is given at once.
+int TakenAfterReports(double utilisation, double first = 0.5) {
+  constexpr int kReports = 60;
+  Settings s = MakeSettings();
+  s.report_fields = {"inflight", "util"};
+  Gateway g(s);
+  g.Servers(1);
+  int given = 0;
+  for (int i = 0; given < kReports && i < 20 * kReports; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const bool sent = !Gateway::SentTo(g.Ask(id)).empty();
+    g.Pass(50);
+    if (!sent) continue;
+    g.Do(Outcome{id, 0, "s0", Result::kServed, true, 50, {3, given == 0 ? first : utilisation}});
+    ++given;
+  }
+  g.Pass(5000);
+  int out = 0;
+  for (int i = 0; i < 30; ++i) out += Gateway::Count<Send>(g.Ask("burst" + std::to_string(i)));
+  return out;
+}
+
+TEST(Ready, ServerThatReportsItselfBusyIsGivenLessThoughItsLatencyIsLevel) {
+  const int calm = TakenAfterReports(0.5);
+  const int busy = TakenAfterReports(1.0);
+  EXPECT_GE(calm, 2);
+  EXPECT_EQ(busy, 1);  // never none: a server that gets nothing could not show that it recovered
+}
+
+TEST(Ready, ManyGatewaysLeaveMoreOfAServerFree) {
+  // 0.85 busy is fine for few gateways, and too much where eight decide without each other.
+  const auto sends = [](double utilisation) {
+    Settings s = MakeSettings();
+    s.gateways = 8;
+    s.report_fields = {"util"};
+    Gateway g(s);
+    g.Servers(1);
+    std::size_t answered = 0;
+    for (int i = 0; i < 4000; ++i) {
+      g.Ask("r" + std::to_string(i));
+      g.Pass(50);
+      for (; answered < g.sent.size(); ++answered) {
+        g.Do(Outcome{g.sent[answered].request, 0, "s0", Result::kServed, true, 50, {utilisation}});
+      }
+    }
+    return answered;
+  };
+  EXPECT_GT(sends(0.6), 2 * sends(0.85)) << sends(0.85);
+}
+
+TEST(Ready, ReportsThatAreShortOrNotNumbersAreSkipped) {
+  const double nan = std::numeric_limits<double>::quiet_NaN();
+  EXPECT_EQ(TakenAfterReports(1.0, nan), 1);  // later reports still count
+  EXPECT_EQ(TakenAfterReports(1.0, -1e9), 1);
+  Settings s = MakeSettings();
+  s.report_fields = {"inflight", "util"};
+  Gateway g(s);
+  g.Servers(1);
+  g.Ask("short");
+  g.Do(Outcome{"short", 0, "s0", Result::kServed, true, 50, {3}});
+  EXPECT_FALSE(Gateway::SentTo(g.Ask("next")).empty());
+}
+
+TEST(Ready, FirstLimitIsHigherWhereKeysWarmServersAndLowWhereReportsSoonShowRoom) {
+  const auto taken = [](bool warm_keys, bool reports) {
+    Settings s = MakeSettings();
+    s.warm_keys = warm_keys;
+    if (reports) s.report_fields = {"util"};
+    Gateway g(s);
+    g.Servers(1);
+    int out = 0;
+    for (int i = 0; i < 40; ++i) out += Gateway::Count<Send>(g.Ask("r" + std::to_string(i)));
+    return out;
+  };
+  EXPECT_GT(taken(true, false), taken(false, false));
+  EXPECT_LT(taken(false, true), taken(false, false));
+}
+
+TEST(Queues, FurtherTryWhoseAimHasPassedGoesLast) {
+  Settings s = MakeSettings();  // aim 1000 of a deadline of 2000
+  s.classes[0].late_worth = 0.5;
+  Gateway g(s);
+  g.Ask("first", "view", 2000);
+  g.Ask("late", "view", 900);    // 1100 have passed since its first try
+  g.Ask("again", "view", 1500);  // still to be answered within its aim
+  g.Ask("new", "view", 2000);
+  g.Servers(1);
+  g.Pass(10);
+  for (int i = 0; i < 40 && g.sent.size() < 4; ++i) {
+    const std::string id = g.sent.back().request;
+    g.now += 20;
+    g.End(id, "s0", Result::kServed, 20);
+  }
+  ASSERT_EQ(g.sent.size(), 4u);
+  EXPECT_EQ(g.sent[0].request, "first");
+  EXPECT_EQ(g.sent[1].request, "again");
+  EXPECT_EQ(g.sent[2].request, "new");
+  EXPECT_EQ(g.sent[3].request, "late");
+}
+
+TEST(Queues, FurtherTryThatCanEarnNothingIsRefusedAtOnce) {
+  Settings s = MakeSettings();  // aim 1000 of a deadline of 2000, no worth after the aim
+  Gateway g(s);
+  g.Servers(3);
+  g.Serve(5);
+  EXPECT_EQ(Gateway::Count<Refuse>(g.Ask("late", "view", 900)), 1);
+  EXPECT_EQ(Gateway::Count<Send>(g.Ask("again", "view", 1500)), 1);
+  s.classes[0].late_worth = 0.5;
+  Gateway earns(s);
+  earns.Servers(3);
+  earns.Serve(5);
+  EXPECT_EQ(Gateway::Count<Send>(earns.Ask("late", "view", 900)), 1);
+}
+
+TEST(Tenants, SmallShareOfOneGatewayOfManyBearsChance) {
+  Settings s = MakeSettings();
+  s.gateways = 300;
+  s.tenants = {{"t", 30}};  // 0.1 a second here
+  Gateway g(s);
+  g.Servers(3);
+  // Failures of another tenant make all that is beyond a share wait.
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "f" + std::to_string(i);
+    if (const std::string to = Gateway::SentTo(g.Ask(id, "pay", 2000, "other")); !to.empty()) {
+      g.now += 50;
+      g.End(id, to, Result::kError, 50);
+    }
+  }
+  g.now += 20000;
+  EXPECT_EQ(Gateway::Count<Send>(g.Ask("a", "view", 2000, "t")), 1);
+  EXPECT_EQ(Gateway::Count<Send>(g.Ask("b", "view", 2000, "t")), 1);
+  EXPECT_EQ(Gateway::Count<Send>(g.Ask("spare", "view", 2000, "other")), 0);
+}
+
+TEST(Queues, FirstTriesThatAreAllShortAreNotTakenForFurtherOnes) {
+  Settings s = MakeSettings();
+  s.classes[0].late_worth = 0.5;
+  Gateway g(s);
+  g.Ask("short", "view", 900);  // a gateway whose clients all give up early
+  g.Ask("longer", "view", 902);
+  g.Ask("late", "view", 500);
+  g.Ask("last", "view", 898);
+  g.Servers(1);
+  g.Pass(10);
+  for (int i = 0; i < 40 && g.sent.size() < 4; ++i) {
+    g.now += 20;
+    g.End(g.sent.back().request, "s0", Result::kServed, 20);
+  }
+  ASSERT_EQ(g.sent.size(), 4u);
+  EXPECT_EQ(g.sent[2].request, "last");
+  EXPECT_EQ(g.sent[3].request, "late");
+}
+
+TEST(List, FailedWatchIsAskedForAgainWithoutAStampede) {
+  Settings s = MakeSettings();
+  s.ask_for_list = true;
+  Gateway g(s);
+  int watches = Gateway::Count<Watch>(g.Do(ServerNews{ServerNews::Kind::kFull, {}}));
+  EXPECT_EQ(watches, 1);
+  for (int i = 0; i < 6; ++i) {
+    g.Do(ServerNews{ServerNews::Kind::kFailed, {}});
+    const int asked = Gateway::Count<Watch>(g.Pass(5000));
+    EXPECT_EQ(asked, 1);
+  }
+}
+
+TEST(WarmKeys, SameKeyKeepsToTheSameServersAtEveryGateway) {
+  Settings s = MakeSettings();
+  s.warm_keys = true;
+  std::map<std::string, std::set<std::string>> homes;
+  for (int seed = 0; seed < 8; ++seed) {
+    Gateway g(s, seed);
+    g.Servers(8);
+    for (int i = 0; i < 40; ++i) {
+      Request r{"r" + std::to_string(i), "view", "", "key" + std::to_string(i % 10), 2000};
+      const std::string server = Gateway::SentTo(g.Do(r));
+      homes[r.key].insert(server);
+      g.now += 20;
+      g.End(r.id, server, Result::kServed, 20);
+    }
+  }
+  for (const auto& [key, servers] : homes) EXPECT_LE(servers.size(), 2u) << key;
+}
+
+TEST(Queues, NoRequestWaitsMoreThanAQuarterOfItsTime) {
+  Gateway g;  // no server yet; aim 1000
+  g.Ask("a");
+  EXPECT_EQ(Gateway::Count<Refuse>(g.Pass(200)), 0);
+  EXPECT_EQ(Gateway::Count<Refuse>(g.Pass(70)), 1);
+}
+
+std::vector<Server> Fleet(int n) {
+  std::vector<Server> servers;
+  for (int i = 0; i < n; ++i) servers.push_back(MakeServer("s" + std::to_string(i)));
+  return servers;
+}
+
+TEST(Subset, HundredsOfGatewaysSpreadEvenlyOverFewServersEach) {
+  std::map<std::string, int> users;
+  std::size_t most = 0;
+  Settings s = MakeSettings();
+  s.gateways = 300;
+  for (s.index = 0; s.index < s.gateways; ++s.index) {
+    Gateway g(s, s.index);
+    g.List(Fleet(60));
+    const auto taken = g.Serve(60, 200);
+    for (const auto& [id, n] : taken) ++users[id];
+    most = std::max(most, taken.size());
+  }
+  EXPECT_LE(most, 9u);
+  ASSERT_EQ(users.size(), 60u);
+  for (const auto& [id, n] : users) EXPECT_TRUE(n >= 20 && n <= 50) << id << " " << n;
+}
+
+TEST(Pick, HardlyMeasuredServerCountsAsItsKindWhereManyGatewaysShareIt) {
+  const auto taken = [](int gateways) {
+    int sent = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+      Settings s = MakeSettings();
+      s.gateways = gateways;
+      Gateway g(s, seed);
+      auto fleet = Fleet(5);
+      fleet[4].kind = "slow";
+      g.List(fleet);
+      const auto serve = [&](const std::string& id) {
+        const std::string to = Gateway::SentTo(g.Ask(id));
+        g.Pass(100);
+        if (!to.empty()) g.End(id, to, Result::kServed, to < "s4" ? 20 : 100);
+        return to;
+      };
+      for (int i = 0; i < 40; ++i) serve("w" + std::to_string(i));
+      fleet.push_back(MakeServer("s5"));
+      fleet[5].kind = "slow";
+      g.List(fleet);
+      for (int i = 0; i < 3; ++i) sent += serve("r" + std::to_string(i)) == "s5";
+    }
+    return sent;
+  };
+  EXPECT_GT(taken(1), 15);  // as fast as the median until it shows otherwise
+  EXPECT_LT(taken(20), 12);
+}
+
+TEST(Subset, IsHalfAsLargeWhereConnectionsStayOpen) {
+  Settings s = MakeSettings();
+  s.gateways = 100;
+  s.index = 7;
+  Gateway one(s);
+  one.List(Fleet(30));
+  s.streams = 100;
+  Gateway held(s);
+  held.List(Fleet(30));
+  EXPECT_EQ(one.Serve(100, 200).size(), 2 * held.Serve(100, 200).size());
+}
+
+TEST(Cold, HundredsOfGatewaysTogetherDoNotPushItOver) {
+  Settings s = MakeSettings();  // 0.2 of its capacity at first, all after 10 s
+  s.gateways = 200;
+  int cold = 0, all = 0, later = 0;
+  for (s.index = 0; s.index < s.gateways; ++s.index) {
+    Gateway g(s, s.index);
+    g.now = 100000;
+    auto fleet = Fleet(20);
+    g.List(fleet);
+    g.Serve(50, 200);
+    fleet.push_back(MakeServer("new", "0", g.now));
+    g.List(fleet);
+    const auto first = g.Serve(10, 200);  // the 2 s after its start, and 6 s more
+    for (const auto& [id, n] : first) (id == "new" ? cold : all) += n;
+    const auto then = g.Serve(30, 200);
+    if (then.contains("new")) later += then.at("new");
+  }
+  // A request from each gateway would be 60 and more; a warm server gets about 100 in that time.
+  EXPECT_LT(cold, 0.3 * all / 20);
+  EXPECT_GT(later, cold);
+}
+
+TEST(Determinism, SameEventsGiveTheSameActions) {
+  Gateway a(MakeSettings(), 7), b(MakeSettings(), 7);
+  a.Servers(5);
+  b.Servers(5);
+  a.Serve(100);
+  b.Serve(100);
+  ASSERT_EQ(a.sent.size(), b.sent.size());
+  for (std::size_t i = 0; i < a.sent.size(); ++i) EXPECT_EQ(a.sent[i].server, b.sent[i].server);
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
--- /dev/null
+++ b/tests/run_all.sh
@@ -0,0 +1,43 @@
+#!/bin/bash
+# All checks of the project: the deploy file's own build, the tests in Release and under the
+# sanitizers, the consumer example against an installed copy, the adapter as a process, the format,
+# and the size of the policy. Run from anywhere; leaves its builds under build*/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+setting() { sed -n "s/^$1 = \"\(.*\)\".*/\1/p" deploy/balancer.toml; }
+policy=$(sed -n 's/^policy = \["\(.*\)"\].*/\1/p' deploy/balancer.toml)
+step() { printf '\n== %s\n' "$*"; }
+
+step "format and size"
+find src include tests examples -name '*.?pp' -print0 | xargs -0 clang-format --dry-run -Werror
+lines=$(grep -cv '^[[:space:]]*$' "$policy")
+echo "$policy: $lines lines that are not blank (550 at most)"
+test "$lines" -le 550
+if grep -nE '^.{111,}' "$policy"; then echo "$policy: lines of more than 110 characters"; exit 1; fi
+
+step "build by deploy/balancer.toml"
+bash -c "$(setting build)"
+
+step "tests, Release"
+cmake -B build-tests -DCMAKE_BUILD_TYPE=Release -DOPALSWITCH_TESTS=ON >/dev/null
+cmake --build build-tests -j"$(nproc)"
+ctest --test-dir build-tests --output-on-failure -j"$(nproc)"
+
+step "tests, address and undefined-behaviour sanitizers"
+cmake -B build-sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo -DOPALSWITCH_TESTS=ON -DOPALSWITCH_SANITIZE=ON >/dev/null
+cmake --build build-sanitize -j"$(nproc)"
+ctest --test-dir build-sanitize --output-on-failure -j"$(nproc)"
+
+step "consumer example against an installed copy"
+prefix=$(mktemp -d)
+trap 'rm -rf "$prefix"' EXIT
+cmake --install build --prefix "$prefix/root" >/dev/null
+cmake -S examples/consumer -B "$prefix/consumer" -DCMAKE_PREFIX_PATH="$prefix/root" >/dev/null
+cmake --build "$prefix/consumer"
+test "$("$prefix/consumer/consumer" | tail -1)" = served
+
+step "adapter by deploy/balancer.toml"
+bash tests/adapter.sh "$(setting sim)"
+
+step "all checks passed"
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,146 @@
+// The dialect: what is read, what is printed, and what is said of malformed lines.
+#include "wire.hpp"
+
+#include <gtest/gtest.h>
+
+namespace opalswitch::wire {
+namespace {
+
+std::string Play(Host& host, std::initializer_list<const char*> lines) {
+  for (const char* line : lines) host.Line(line);
+  return host.TakeReply();
+}
+
+constexpr const char* kCreate =
+    "CREATE 5 categories.count=1 categories.0.name=view categories.0.sloMs=500.0 "
+    "categories.0.deadlineMs=1000.0 categories.0.importance=2.0 categories.0.idempotency=pure "
+    "limits.maxAttempts=4 membershipMode=push new.key.of.later=1";
+
+TEST(Wire, EmptyBatchGetsAnEmptyReply) {
+  Host host;
+  EXPECT_EQ(Play(host, {"TURN 1.5", "EOF_BATCH"}), "OK\n");
+}
+
+TEST(Wire, RequestIsSentThroughTheListOfItsBatch) {
+  Host host;
+  const std::string reply =
+      Play(host, {"TURN 10", "INSTANCE 3", kCreate, "SNAPSHOT_ROWS 0 1", "ENTRY h1 z k 0 up 1 -",
+                  "REGISTRY 0 1 C", "KNOCK t/1 view - - 400.0 - 0 extra", "EOF_BATCH"});
+  EXPECT_NE(reply.find("CONTEXT 3\n"), std::string::npos);
+  EXPECT_NE(reply.find("PASS_ON t/1 h1 400.000\n"), std::string::npos) << reply;
+}
+
+TEST(Wire, ListNumbersAreResolvedInTheOrderOfEvents) {
+  Host host;
+  const std::string reply =
+      Play(host, {"TURN 10", "INSTANCE 1", kCreate, "SNAPSHOT_ROWS 0 1", "ENTRY h1 z k 0 up 1 -",
+                  "REGISTRY 0 1 C", "INSTANCE 2", kCreate, "SNAPSHOT_ROWS 0 1", "ENTRY h2 z k 0 up 1 -",
+                  "REGISTRY 0 1 C", "INSTANCE 1", "KNOCK t/1 view - - 400 - 0", "INSTANCE 2",
+                  "KNOCK t/2 view - - 400 - 0", "EOF_BATCH"});
+  EXPECT_NE(reply.find("PASS_ON t/1 h1"), std::string::npos) << reply;
+  EXPECT_NE(reply.find("PASS_ON t/2 h2"), std::string::npos) << reply;
+}
+
+TEST(Wire, InstanceKilledAndMadeAgainInOneBatchStartsEmpty) {
+  Host host;
+  Play(host, {"TURN 10", "INSTANCE 1", kCreate, "SNAPSHOT_ROWS 0 1", "ENTRY h1 z k 0 up 1 -",
+              "REGISTRY 0 1 C", "EOF_BATCH"});
+  const std::string reply = Play(host, {"TURN 20", "INSTANCE 1", "CRASH_NOW", kCreate, "SNAPSHOT_ROWS 1 0",
+                                        "REGISTRY 1 1 C", "KNOCK t/1 view - - 400 - 0", "EOF_BATCH"});
+  EXPECT_EQ(reply.find("PASS_ON"), std::string::npos) << reply;
+}
+
+// What one instance says in the course of `rounds` batches; `others` more share its process.
+std::string Said(int others, int rounds) {
+  Host host;
+  std::string said;
+  for (int round = 0; round < rounds; ++round) {
+    host.Line("TURN " + std::to_string(10 * round));
+    for (int i = 0; i <= others; ++i) {
+      // The instance that is watched comes in the middle, so that both neighbours could disturb it.
+      host.Line("INSTANCE " + std::to_string((i + 1) % (others + 1)));
+      if (round == 0) {
+        for (const char* line : {kCreate, "SNAPSHOT_ROWS 0 3", "ENTRY h1 z k 0 up 1 -",
+                                 "ENTRY h2 z k 0 up 1 -", "ENTRY h3 z k 0 up 1 -", "REGISTRY 0 1 C"}) {
+          host.Line(line);
+        }
+      }
+      const std::string id = "t/" + std::to_string(round);
+      host.Line("KNOCK " + id + " view - - 400 - 0");
+      if (round % 3 != 0) host.Line("FIRED sweep");
+    }
+    host.Line("EOF_BATCH");
+    const std::string reply = host.TakeReply();
+    bool mine = false;
+    std::size_t start = 0;
+    for (std::size_t end; (end = reply.find('\n', start)) != std::string::npos; start = end + 1) {
+      const std::string line = reply.substr(start, end - start);
+      if (line.starts_with("CONTEXT ")) {
+        mine = line == "CONTEXT 0";
+      } else if (mine && line != "OK") {
+        said += line + "\n";
+      }
+    }
+  }
+  return said;
+}
+
+TEST(Wire, InstanceActsAlikeAloneAndAmongOthersInOneProcess) {
+  const std::string alone = Said(0, 60);
+  EXPECT_NE(alone.find("PASS_ON t/0 "), std::string::npos) << alone;
+  EXPECT_EQ(alone, Said(2, 60));
+}
+
+TEST(Wire, SettingsAreReadAndUnknownOnesSkipped) {
+  const Settings s =
+      ParseSettings({"categories.1.name=b", "categories.0.name=a", "categories.count=2",
+                     "categories.0.idempotency=token", "categories.0.group=cell", "projects.0.quotaPerS=12.5",
+                     "limits.retryAfter=true", "limits.maxRetryAfterMs=600.0", "familyInfo.warmKeys=true",
+                     "report.fields=inflight,util", "who.knows=this"});
+  ASSERT_EQ(s.classes.size(), 2u);
+  EXPECT_EQ(s.classes[0].name, "a");
+  EXPECT_EQ(s.classes[0].effect, Effect::kKeyed);
+  EXPECT_EQ(s.classes[0].group, Group::kCell);
+  EXPECT_EQ(s.tenants.at(0).quota_per_s, 12.5);
+  EXPECT_EQ(s.max_retry_after, 600);
+  EXPECT_TRUE(s.retry_after && s.warm_keys);
+  EXPECT_EQ(s.report_fields, (std::vector<std::string>{"inflight", "util"}));
+}
+
+TEST(Wire, KillWithAttemptsOutLeavesNothingBehind) {
+  Host host;
+  Play(host, {"TURN 10", "INSTANCE 1", kCreate, "SNAPSHOT_ROWS 0 1", "ENTRY h1 z k 0 up 1 -",
+              "REGISTRY 0 1 C", "KNOCK t/1 view - - 400 - 0", "EOF_BATCH"});
+  const std::string reply =
+      Play(host, {"TURN 20", "INSTANCE 1", "CRASH_NOW", kCreate, "SNAPSHOT_ROWS 0 1", "ENTRY h1 z k 0 up 1 -",
+                  "REGISTRY 0 1 C", "COMPLETED t/1 0 h1 10 1 5.0 -", "EXPIRED t/1", "EOF_BATCH"});
+  EXPECT_EQ(reply.find("t/1"), std::string::npos) << reply;
+}
+
+class Malformed : public ::testing::TestWithParam<const char*> {};
+
+TEST_P(Malformed, LineIsNamedAndRefused) {
+  Host host;
+  Play(host, {"TURN 10", "INSTANCE 1", kCreate, "EOF_BATCH"});
+  host.Line("TURN 11");
+  host.Line("INSTANCE 1");
+  EXPECT_THROW(host.Line(GetParam()), WireError) << GetParam();
+}
+
+INSTANTIATE_TEST_SUITE_P(Lines, Malformed,
+                         ::testing::Values("BOGUS 1", "TURN x", "TURN 12", "KNOCK t/1 view - - abc - 0",
+                                           "KNOCK t/1", "COMPLETED t/1 0 h 99 1 5.0 -",
+                                           "COMPLETED t/1 0 h 10 maybe 5.0 -", "ENTRY h z k 0 up 1 -",
+                                           "SNAPSHOT_ROWS 16 0", "REGISTRY 0 1 Q", "INSTANCE one",
+                                           "CREATE notanumber", "CREATE 5 novalue", "CREATE 5 zone=a",
+                                           "KNOCK t/1 view - - nan - 0", ""));
+
+TEST(Wire, EventForAnInstanceThatDoesNotExistIsRefused) {
+  Host host;
+  host.Line("TURN 1");
+  host.Line("INSTANCE 9");
+  EXPECT_THROW(host.Line("FIRED sweep"), WireError);
+}
+
+}  // namespace
+}  // namespace opalswitch::wire
