Add the real gateway: one program on real sockets

Around the unchanged module stand client_server, host_pool, discovery, config and gateway (src/gateway), on Boost.Asio and Beast, one thread and one loop. The settings of the configuration go through the reader of the simulator's settings, so both name the same things.

The sanitizers' build took most of four minutes at -O2 and is made with -O0 from here on.

--- /dev/null
+++ b/src/gateway/client_server.hpp
@@ -0,0 +1,76 @@
+// The side that clients see: the listener, /up, the parsing of requests, and the one answer to each.
+#ifndef OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
+#define OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "http_types.hpp"
+#include "opalswitch/policy.hpp"
+
+namespace opalswitch::gateway {
+
+// A client's well-formed request.
+struct ClientRequest {
+  HttpRequest http;
+  std::string id, class_name, tenant, key;
+  Millis received = 0;                       // when its last byte was read
+  Millis allowed = 0;                        // how long the client waits, from when it sent it
+  std::function<void(HttpResponse)> answer;  // to be called once; what follows is dropped
+};
+
+class ClientServer {
+ public:
+  struct Handlers {
+    std::function<bool()> ready;
+    std::function<void(ClientRequest)> taken;
+    std::function<void(const std::string& id)> gone;  // the client of an unanswered request has left
+  };
+
+  // Listens at once. Throws boost::system::system_error if it can't.
+  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+               std::size_t most_sessions, const Settings& settings, Handlers handlers);
+  ~ClientServer();
+
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+  // From now on each answer closes its connection.
+  void Drain() { draining_ = true; }
+  // Takes what has connected so far, then closes the listener and the connections between requests.
+  // `done` follows when the last connection is closed.
+  void StopListening(std::function<void()> done);
+
+ private:
+  class Session;
+  void Accept();
+  void Accepted(boost::asio::ip::tcp::socket socket);
+  void Closed(const std::shared_ptr<Session>& session);
+  bool EvictIdle();
+  void Sweep();
+  // Checks a request against the settings and the protocol; the error is an answer's status and text.
+  struct Fault;
+  std::unique_ptr<Fault> Check(const HttpRequest& http, ClientRequest& request) const;
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const std::size_t most_sessions_;
+  std::unordered_map<std::string, Effect> classes_;
+  const Handlers handlers_;
+  std::unordered_set<std::shared_ptr<Session>> sessions_;
+  boost::asio::steady_timer sweep_;
+  boost::asio::steady_timer accept_again_;
+  bool accepting_ = false;
+  bool draining_ = false;
+  std::function<void()> stopped_;
+};
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
--- /dev/null
+++ b/src/gateway/discovery.cpp
@@ -0,0 +1,164 @@
+#include "discovery.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "clock.hpp"
+
+namespace opalswitch::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using nlohmann::json;
+using tcp = asio::ip::tcp;
+
+constexpr Millis kWait = 20000;    // how long one call of the watch may wait for news
+constexpr Millis kSilence = 5000;  // beyond that: a call that is not answered by then has failed
+constexpr Millis kDial = 1000;     // a discovery that is cut off never answers a dial
+constexpr Millis kCallGap = 100;   // least time from call to call; the watch lapses after 200
+constexpr std::size_t kMostList = 8 << 20;
+
+ServerState ToState(const std::string& phase) {
+  if (phase == "up") return ServerState::kUp;
+  if (phase == "draining") return ServerState::kDraining;
+  if (phase == "removed") return ServerState::kGone;
+  throw std::invalid_argument("phase");
+}
+
+Host ToHost(const json& entry) {
+  Host host;
+  Server& server = host.server;
+  server.id = entry.at("id").get<std::string>();
+  if (server.id.empty()) throw std::invalid_argument("id");
+  server.state = ToState(entry.at("phase").get<std::string>());
+  server.zone = entry.value("locality", "");
+  server.kind = entry.value("flavor", "");
+  if (entry.contains("cell")) server.cell = entry["cell"].dump();
+  server.weight = entry.value("size", 1.0);
+  server.started_at = entry.value("up_since_ms", 0.0);
+  const auto address = ParseEndpoint(entry.value("host_port", ""));
+  if (!address && server.state != ServerState::kGone) throw std::invalid_argument("host_port");
+  if (address) host.address = *address;
+  return host;
+}
+
+}  // namespace
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  error_code ec;
+  const auto address = asio::ip::make_address(text.substr(0, colon), ec);
+  std::uint16_t port = 0;
+  const char* const last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
+  if (ec || error != std::errc() || end != last) return std::nullopt;
+  return tcp::endpoint(address, port);
+}
+
+std::optional<HostList> ParseHostList(std::string_view text) {
+  try {
+    const json parsed = json::parse(text);
+    HostList list;
+    list.revision = parsed.at("revision").get<std::int64_t>();
+    list.complete = parsed.at("complete").get<bool>();
+    for (const json& entry : parsed.at("members")) list.hosts.push_back(ToHost(entry));
+    return list;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  } catch (const std::invalid_argument&) {
+    return std::nullopt;
+  }
+}
+
+// One call and all that its handlers use, so that those of a call given up touch nothing of the next.
+struct Discovery::Call {
+  explicit Call(asio::io_context& io) : timer(io) { parser.body_limit(kMostList); }
+  Millis begun = Now();
+  asio::steady_timer timer;
+  http::request<http::empty_body> request;
+  http::response_parser<http::string_body> parser;
+  boost::beast::flat_buffer buffer;
+};
+
+Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::int64_t revision, Handlers handlers)
+    : io_(io), address_(address), revision_(revision), handlers_(std::move(handlers)), pause_(io) {}
+
+void Discovery::Watch() {
+  if (std::exchange(watching_, true)) return;  // asking again would be one more call on a shared service
+  Ask();
+}
+
+void Discovery::Ask() {
+  const auto call = call_ = std::make_shared<Call>(io_);
+  const bool fresh = socket_ == nullptr;
+  call->timer.expires_after(Span(fresh ? kDial : kWait + kSilence));
+  call->timer.async_wait([this, call](error_code ec) {
+    if (!ec) Fail(call);
+  });
+  if (!fresh) return Connected(call);
+  socket_ = std::make_shared<tcp::socket>(io_);
+  socket_->async_connect(address_, [this, call, socket = socket_](error_code ec) {
+    if (call != call_) return;
+    if (ec) return Fail(call);
+    call->timer.expires_after(Span(kWait + kSilence));
+    call->timer.async_wait([this, call](error_code timer_ec) {
+      if (!timer_ec) Fail(call);
+    });
+    Connected(call);
+  });
+}
+
+void Discovery::Connected(const std::shared_ptr<Call>& call) {
+  call->request.method(http::verb::get);
+  call->request.target("/discovery/hosts?after=" + std::to_string(revision_) +
+                       "&wait_ms=" + std::to_string(static_cast<int>(kWait)));
+  call->request.set(http::field::host, address_.address().to_string());
+  http::async_write(*socket_, call->request, [this, call, socket = socket_](error_code ec, std::size_t) {
+    if (call != call_) return;
+    if (ec) return Fail(call);
+    http::async_read(*socket, call->buffer, call->parser,
+                     [this, call, socket](error_code read_ec, std::size_t) {
+                       if (call != call_) return;
+                       if (read_ec) return Fail(call);
+                       Answered(call);
+                     });
+  });
+}
+
+void Discovery::Answered(const std::shared_ptr<Call>& call) {
+  const auto& answer = call->parser.get();
+  auto list = answer.result() == http::status::ok ? ParseHostList(answer.body()) : std::nullopt;
+  if (!list) return Fail(call);
+  call->timer.cancel();
+  call_.reset();
+  if (!answer.keep_alive()) socket_.reset();
+  revision_ = list->revision;
+  handlers_.told(std::move(*list));
+  // A discovery that answers at once, as an agent with pushed lists does, must not be asked in a tight loop.
+  pause_.expires_after(Span(kCallGap - (Now() - call->begun)));
+  pause_.async_wait([this](error_code ec) {
+    if (!ec) Ask();
+  });
+}
+
+void Discovery::Fail(const std::shared_ptr<Call>& call) {
+  if (call != call_) return;
+  call_.reset();
+  call->timer.cancel();
+  if (socket_) {
+    error_code ignored;
+    socket_->close(ignored);
+    socket_.reset();
+  }
+  watching_ = false;
+  handlers_.failed();
+}
+
+}  // namespace opalswitch::gateway
--- /dev/null
+++ b/src/gateway/discovery.hpp
@@ -0,0 +1,67 @@
+// The list of hosts: its form, and the watch on discovery that keeps it up to date.
+#ifndef OPALSWITCH_GATEWAY_DISCOVERY_HPP_
+#define OPALSWITCH_GATEWAY_DISCOVERY_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "opalswitch/policy.hpp"
+
+namespace opalswitch::gateway {
+
+struct Host {
+  Server server;
+  boost::asio::ip::tcp::endpoint address;
+};
+
+struct HostList {
+  std::int64_t revision = 0;
+  bool complete = true;  // else only what changed
+  std::vector<Host> hosts;
+};
+
+// "10.1.0.18:3000"; nothing if it is anything else.
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text);
+// Nothing if the text is broken in any part: half a list must not pass for a whole one.
+std::optional<HostList> ParseHostList(std::string_view text);
+
+class Discovery {
+ public:
+  struct Handlers {
+    std::function<void(HostList)> told;
+    std::function<void()> failed;  // the watch has ended; Watch() begins a new one
+  };
+  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, std::int64_t revision,
+            Handlers handlers);
+
+  // Begins a watch, from the last revision known; does nothing while one is on.
+  void Watch();
+
+ private:
+  struct Call;
+  void Ask();
+  void Connected(const std::shared_ptr<Call>& call);
+  void Answered(const std::shared_ptr<Call>& call);
+  void Fail(const std::shared_ptr<Call>& call);
+
+  boost::asio::io_context& io_;
+  const boost::asio::ip::tcp::endpoint address_;
+  std::int64_t revision_;
+  const Handlers handlers_;
+  std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // kept between the calls of a watch
+  std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
+  boost::asio::steady_timer pause_;
+  bool watching_ = false;
+};
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_GATEWAY_DISCOVERY_HPP_
--- /dev/null
+++ b/src/gateway/http_types.hpp
@@ -0,0 +1,29 @@
+// The messages that clients, gateway and hosts exchange, and what they have in common.
+#ifndef OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
+#define OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+
+namespace opalswitch::gateway {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+constexpr std::uint64_t kMostBody = 64 * 1024;
+constexpr std::uint32_t kMostHeader = 16 * 1024;
+
+// Takes out what concerns one connection alone, and so must not be passed on. Framing is set anew.
+template <typename Message>
+void StripHopByHop(Message& message) {
+  using boost::beast::http::field;
+  for (const field name : {field::connection, field::keep_alive, field::proxy_connection, field::te,
+                           field::trailer, field::transfer_encoding, field::upgrade, field::expect}) {
+    message.erase(name);
+  }
+}
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
--- /dev/null
+++ b/tests/peers.hpp
@@ -0,0 +1,222 @@
+// The other side of the gateway's sockets, for tests: scripted servers and clients on loopback. They share
+// the gateway's event loop, and tests wait for what they expect instead of for time to pass.
+#ifndef OPALSWITCH_TESTS_PEERS_HPP_
+#define OPALSWITCH_TESTS_PEERS_HPP_
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/http_types.hpp"
+
+namespace opalswitch::testing {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using gateway::HttpRequest;
+using gateway::HttpResponse;
+using tcp = asio::ip::tcp;
+
+inline tcp::endpoint Loopback(unsigned short port = 0) { return {asio::ip::address_v4::loopback(), port}; }
+
+inline std::string ToText(const tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+// Runs the loop until `done`; false after half a minute, which no healthy run comes near.
+template <typename Done>
+bool RunUntil(asio::io_context& io, Done done) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+  while (!done()) {
+    if (std::chrono::steady_clock::now() > end) return false;
+    io.run_one_for(std::chrono::milliseconds(50));
+  }
+  return true;
+}
+
+// A server that keeps each request until the test says what becomes of it.
+class Peer {
+ public:
+  struct Connection : std::enable_shared_from_this<Connection> {
+    Connection(Peer& owner, tcp::socket s) : peer(owner), socket(std::move(s)) {}
+
+    void Read() {
+      parser.emplace();
+      parser->body_limit(1 << 20);
+      http::async_read(socket, buffer, *parser, [self = shared_from_this()](error_code ec, std::size_t) {
+        if (ec) {
+          self->ended = true;
+          return;
+        }
+        self->peer.requests.push_back({self->parser->release(), self});
+        self->Read();
+        if (self->peer.serve) self->peer.serve(self->peer.requests.back());
+      });
+    }
+    void Raw(std::string text) {
+      const auto kept = std::make_shared<std::string>(std::move(text));
+      asio::async_write(socket, asio::buffer(*kept),
+                        [kept, self = shared_from_this()](error_code, std::size_t) {});
+    }
+    void Close() {
+      error_code ignored;
+      socket.close(ignored);
+    }
+    void Reset() {
+      error_code ignored;
+      socket.set_option(asio::socket_base::linger(true, 0), ignored);
+      socket.close(ignored);
+    }
+
+    Peer& peer;
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    bool ended = false;  // by the gateway
+  };
+
+  struct Taken {
+    HttpRequest http;
+    std::shared_ptr<Connection> on;
+
+    void Answer(int status, std::string body, const std::string& field = "",
+                const std::string& value = "") const {
+      HttpResponse response(static_cast<http::status>(status), 11);
+      response.body() = std::move(body);
+      response.prepare_payload();
+      if (!field.empty()) response.set(field, value);
+      std::ostringstream text;
+      text << response;
+      on->Raw(text.str());
+    }
+  };
+
+  explicit Peer(asio::io_context& io) : io_(io), acceptor_(io, Loopback()) { Accept(); }
+  ~Peer() {
+    for (const auto& connection : connections) connection->Close();
+  }
+
+  tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  void StopListening() { acceptor_.close(); }
+
+  std::vector<Taken> requests;
+  std::vector<std::shared_ptr<Connection>> connections;
+  std::function<void(const Taken&)> serve;  // if set, called for each request
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+      if (ec) return;
+      connections.push_back(std::make_shared<Connection>(*this, std::move(socket)));
+      connections.back()->Read();
+      Accept();
+    });
+  }
+
+  asio::io_context& io_;
+  tcp::acceptor acceptor_;
+};
+
+// A client on one connection.
+class Client {
+ public:
+  Client(asio::io_context& io, const tcp::endpoint& at) : io_(io), socket_(io) {
+    socket_.connect(at);
+    Read();
+  }
+
+  void Send(const std::string& text) {
+    error_code ignored;  // a gateway may close on what it has read enough of
+    asio::write(socket_, asio::buffer(text), ignored);
+  }
+  void Leave() { socket_.close(); }
+
+  // Waits until `n` answers in all have come, and gives the last of them.
+  const HttpResponse& Await(std::size_t n = 1) {
+    static const HttpResponse kNone(http::status::unknown, 11);
+    if (RunUntil(io_, [&] { return answers.size() >= n; })) return answers[n - 1];
+    ADD_FAILURE() << "no answer " << n;
+    return kNone;
+  }
+  bool AwaitEnd() {
+    return RunUntil(io_, [&] { return ended; });
+  }
+
+  std::vector<HttpResponse> answers;
+  bool ended = false;  // by the gateway
+
+ private:
+  void Read() {
+    parser_.emplace();
+    http::async_read(socket_, buffer_, *parser_, [this](error_code ec, std::size_t) {
+      if (ec == asio::error::operation_aborted) return;
+      if (ec) {
+        ended = true;
+        return;
+      }
+      answers.push_back(parser_->release());
+      Read();
+    });
+  }
+
+  asio::io_context& io_;
+  tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+};
+
+// A request as clients send it. `more` holds further header lines, each with its line end.
+inline std::string ApiCall(const std::string& id, const std::string& cls = "view",
+                           const std::string& deadline = "5000m", const std::string& body = "",
+                           const std::string& more = "") {
+  const bool safe = cls == "view";
+  std::string text = std::string(safe ? "GET" : "POST") + " /api HTTP/1.1\r\nHost: backend.local\r\n";
+  text += "Req-Id: " + id + "\r\nReq-Kind: " + cls + "\r\nReq-Deadline: " + deadline + "\r\n" + more;
+  if (!safe || !body.empty()) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  return text + "\r\n" + body;
+}
+
+// A member of discovery's list.
+inline nlohmann::json Member(const std::string& id, const tcp::endpoint& at,
+                             const std::string& phase = "up") {
+  return {{"id", id},  {"host_port", ToText(at)}, {"locality", "a"}, {"flavor", "m"},
+          {"cell", 0}, {"phase", phase},          {"size", 1.0},     {"up_since_ms", 0}};
+}
+
+inline nlohmann::json List(int revision, bool complete, std::vector<nlohmann::json> members) {
+  return {{"revision", revision}, {"complete", complete}, {"members", std::move(members)}};
+}
+
+// The configuration's settings: one safe class and one unsafe, with aims far above what a busy machine needs.
+inline nlohmann::json TestSettings() {
+  const auto cls = [](const char* name, const char* effect) {
+    return nlohmann::json{{"name", name},      {"sloMs", 20000.0},      {"deadlineMs", 20000.0},
+                          {"importance", 1.0}, {"idempotency", effect}, {"lateWorth", 0.0}};
+  };
+  return {{"categories", {cls("view", "pure"), cls("key", "token"), cls("pay", "side_effect")}},
+          {"membershipMode", "ask"},
+          {"limits",
+           {{"maxAttempts", 4},
+            {"dialTimeoutMs", 5000.0},
+            {"connIdleMs", 60000.0},
+            {"cancelling", true},
+            {"retryAfter", true},
+            {"maxRetryAfterMs", 2000.0}}},
+          {"report", {{"fields", {"inflight", "util"}}, {"source", "answers"}}},
+          {"zone", "a"},
+          {"somethingNew", {{"never", "heard of"}}}};
+}
+
+}  // namespace opalswitch::testing
+
+#endif  // OPALSWITCH_TESTS_PEERS_HPP_
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -25,7 +25,7 @@
 ctest --test-dir build-tests --output-on-failure -j"$(nproc)"
 
 step "tests, address and undefined-behaviour sanitizers"
-cmake -B build-sanitize -DCMAKE_BUILD_TYPE=RelWithDebInfo -DOPALSWITCH_TESTS=ON -DOPALSWITCH_SANITIZE=ON >/dev/null
+cmake -B build-sanitize -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O0 -DOPALSWITCH_TESTS=ON -DOPALSWITCH_SANITIZE=ON >/dev/null
 cmake --build build-sanitize -j"$(nproc)"
 ctest --test-dir build-sanitize --output-on-failure -j"$(nproc)"
 
