--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -26,6 +26,17 @@
   std::function<void(HttpResponse)> answer;  // to be called once; what follows is dropped
 };
 
+struct ClientLimits {
+  std::size_t sessions = 256;
+  std::uint64_t body_bytes = 16 << 20;  // that requests may hold together
+  Millis first_request = 2000;          // from connecting: who says nothing by then is closed
+  Millis arrival = 250;                 // of this a new connection is as good as one with a request
+  Millis whole_request = 2000;          // a request that was begun must be whole by then
+  Millis idle = 10000;                  // a connection without a request is closed
+  Millis answer_read = 3000;            // an answer must have been taken in by then
+  Millis linger = 500;                  // a client that was told of the close gets this to close first
+};
+
 class ClientServer {
  public:
   struct Handlers {
@@ -36,7 +47,7 @@
 
   // Listens at once. Throws boost::system::system_error if it can't.
   ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-               std::size_t most_sessions, const Settings& settings, Handlers handlers);
+               const ClientLimits& limits, const Settings& settings, Handlers handlers);
   ~ClientServer();
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -49,11 +60,17 @@
 
  private:
   class Session;
+  // The order in which connections are closed where places have run out.
+  enum class Standing { kTold, kSilent, kHalfRequest, kBetween, kNew, kKept };
   void Accept();
   void Accepted(boost::asio::ip::tcp::socket socket);
   void Closed(const std::shared_ptr<Session>& session);
-  bool Full() const { return sessions_.size() >= most_sessions_; }
-  bool EvictIdle();
+  bool Full() const { return sessions_.size() >= limits_.sessions; }
+  // Clients stand in the kernel's queue for want of a place.
+  bool Waiting() const;
+  bool Evict();
+  // Counts a body that is to be read; false if there is no room for it.
+  bool Reserve(std::uint64_t bytes, std::size_t& held);
   void Sweep();
   // Checks a request against the settings and the protocol; the error is an answer's status and text.
   struct Fault;
@@ -61,7 +78,8 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  const std::size_t most_sessions_;
+  const ClientLimits limits_;
+  std::uint64_t reserved_ = 0;
   std::unordered_map<std::string, Effect> classes_;
   const Handlers handlers_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -91,6 +91,7 @@
     }
   }
   config.sockets = static_cast<std::size_t>(PositiveOr(file, "/limits/sockets", 1024));
+  config.memory_mb = PositiveOr(file, "/limits/memory_mb", config.memory_mb);
   config.settings = ReadSettings(file);
   config.dial_timeout = PositiveOr(file, "/settings/limits/dialTimeoutMs", config.dial_timeout);
   config.idle_timeout = PositiveOr(file, "/settings/limits/connIdleMs", config.idle_timeout);
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -26,6 +26,7 @@
   boost::asio::ip::tcp::endpoint discovery;
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // file descriptors that the process may hold
+  double memory_mb = 128;      // beyond it the process is killed
   Settings settings;
   Millis dial_timeout = 250;
   Millis idle_timeout = 15000;  // a host closes a connection that stood idle for this long
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -96,6 +96,16 @@
   Ask();
 }
 
+void Discovery::Move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  revision_.reset();
+  ++moves_;
+  Drop();
+  watching_ = true;
+  Ask();
+}
+
 void Discovery::Ask() {
   const auto call = call_ = std::make_shared<Call>(io_);
   const bool fresh = socket_ == nullptr;
@@ -118,8 +128,11 @@
 
 void Discovery::Connected(const std::shared_ptr<Call>& call) {
   call->request.method(http::verb::get);
-  call->request.target("/discovery/hosts?after=" + std::to_string(revision_) +
-                       "&wait_ms=" + std::to_string(static_cast<int>(kWait)));
+  std::string target = "/discovery/hosts";
+  if (revision_) {
+    target += "?after=" + std::to_string(*revision_) + "&wait_ms=" + std::to_string(static_cast<int>(kWait));
+  }
+  call->request.target(target);
   call->request.set(http::field::host, address_.address().to_string());
   http::async_write(*socket_, call->request, [this, call, socket = socket_](error_code ec, std::size_t) {
     if (call != call_) return;
@@ -144,22 +157,27 @@
   handlers_.told(std::move(*list));
   // A discovery that answers at once, as an agent with pushed lists does, must not be asked in a tight loop.
   pause_.expires_after(Span(kCallGap - (Now() - call->begun)));
-  pause_.async_wait([this](error_code ec) {
-    if (!ec) Ask();
+  pause_.async_wait([this, moves = moves_](error_code ec) {
+    if (!ec && moves == moves_) Ask();
   });
 }
 
 void Discovery::Fail(const std::shared_ptr<Call>& call) {
   if (call != call_) return;
-  call_.reset();
-  call->timer.cancel();
-  if (socket_) {
-    error_code ignored;
-    socket_->close(ignored);
-    socket_.reset();
-  }
+  Drop();
   watching_ = false;
   handlers_.failed();
 }
 
+// Ends the call and the connection; whatever of them is still on its way finds that it is not the current
+// one.
+void Discovery::Drop() {
+  if (call_) call_->timer.cancel();
+  call_.reset();
+  if (!socket_) return;
+  error_code ignored;
+  socket_->close(ignored);
+  socket_.reset();
+}
+
 }  // namespace opalswitch::gateway
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -44,6 +44,9 @@
 
   // Begins a watch, from the last revision known; does nothing while one is on.
   void Watch();
+  // Discovery is elsewhere from now on: what the old one still says is dropped, and the whole list is asked
+  // for.
+  void Move(const boost::asio::ip::tcp::endpoint& address);
 
  private:
   struct Call;
@@ -52,12 +55,15 @@
   void Answered(const std::shared_ptr<Call>& call);
   void Fail(const std::shared_ptr<Call>& call);
 
+  void Drop();
+
   boost::asio::io_context& io_;
-  const boost::asio::ip::tcp::endpoint address_;
-  std::int64_t revision_;
+  boost::asio::ip::tcp::endpoint address_;
+  std::optional<std::int64_t> revision_;  // none yet from this discovery: its numbers are its own
   const Handlers handlers_;
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // kept between the calls of a watch
   std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
+  std::uint64_t moves_ = 0;
   boost::asio::steady_timer pause_;
   bool watching_ = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,21 +25,36 @@
 constexpr Millis kAnswerAll = 3300;  // after SIGTERM: all deadlines are over, SIGKILL comes at 3,700 or later
 constexpr Millis kFlush = 200;       // for the last answers to leave
 constexpr Millis kAskAgain = 200;    // where lists are pushed: from a call that failed to the next
-constexpr std::size_t kSpareSockets = 64;  // listener, discovery, standard streams, the loop's own, and room
+constexpr std::size_t kSpareSockets = 24;  // listener, discovery, standard streams, the loop's own, and room
+constexpr double kHostShare = 0.45;  // of the descriptors left; an attempt out holds one, as its client does
+constexpr double kBodyShare = 0.15;  // of the memory: bodies are held twice while they are passed on
+constexpr double kMostLoad = 1e6;    // no host can report more of anything
 
 // Descriptors that may be used, by the configuration and by the system.
-std::size_t Sockets(std::size_t configured) {
+std::size_t Usable(std::size_t configured) {
   rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return configured;
-  return std::min<std::size_t>(configured, limit.rlim_cur);
+  std::size_t all = configured;
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
+    all = std::min<std::size_t>(configured, limit.rlim_cur);
+  }
+  return all > 2 * kSpareSockets ? all - kSpareSockets : all / 2;
 }
 
-std::size_t Usable(std::size_t configured) {
-  const std::size_t all = Sockets(configured);
-  return all > 2 * kSpareSockets ? all - kSpareSockets : all / 2;
+std::size_t HostSockets(std::size_t configured) {
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(static_cast<double>(Usable(configured)) * kHostShare));
 }
 
-// "inflight=7,util=0.61" in the order of the settings' fields; what is missing is not a number.
+ClientLimits LimitsFor(const Config& config) {
+  ClientLimits limits;
+  const std::size_t usable = Usable(config.sockets), hosts = HostSockets(config.sockets);
+  limits.sessions = usable > hosts ? usable - hosts : 1;
+  limits.body_bytes = static_cast<std::uint64_t>(std::max(1.0, config.memory_mb * kBodyShare) * (1 << 20));
+  return limits;
+}
+
+// "inflight=7,util=0.61" in the order of the settings' fields; what is missing is not a number. A report that
+// can't be read in any part, or tells what no host can have, is none.
 std::vector<double> ParseLoad(std::string_view text, const std::vector<std::string>& fields) {
   if (text.empty()) return {};
   std::vector<double> load(fields.size(), std::numeric_limits<double>::quiet_NaN());
@@ -47,11 +62,13 @@
     const std::string_view pair = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), pair.size() + 1));
     const std::size_t equals = pair.find('=');
-    const auto field = std::find(fields.begin(), fields.end(), pair.substr(0, equals));
-    if (equals == std::string_view::npos || field == fields.end()) continue;
+    if (equals == std::string_view::npos) return {};
     double value = 0;
-    const auto [end, error] = std::from_chars(pair.data() + equals + 1, pair.data() + pair.size(), value);
-    if (error == std::errc()) load[static_cast<std::size_t>(field - fields.begin())] = value;
+    const char* const last = pair.data() + pair.size();
+    const auto [end, error] = std::from_chars(pair.data() + equals + 1, last, value);
+    if (error != std::errc() || end != last || !(value >= 0 && value <= kMostLoad)) return {};
+    const auto field = std::find(fields.begin(), fields.end(), pair.substr(0, equals));
+    if (field != fields.end()) load[static_cast<std::size_t>(field - fields.begin())] = value;
   }
   return load;
 }
@@ -79,23 +96,23 @@
 
 }  // namespace
 
-// Hosts get a third of the descriptors, clients the rest: both sides together stay under the limit.
+// Hosts and clients have descriptors of their own: both sides together stay under the limit.
 Gateway::Gateway(asio::io_context& io, const Config& config)
     : io_(io),
       settings_(config.settings),
       policy_(config.settings, config.seed),
-      hosts_(io, {config.dial_timeout, config.idle_timeout,
-                  std::max<std::size_t>(1, Usable(config.sockets) / 3)}),
+      hosts_(io, {config.dial_timeout, config.idle_timeout, HostSockets(config.sockets)}),
       discovery_(io, config.discovery, config.known.revision,
                  {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
       stop_(io),
       ask_again_(io),
-      clients_(io, config.listen, std::max<std::size_t>(1, Usable(config.sockets) * 2 / 3), config.settings,
+      clients_(io, config.listen, LimitsFor(config), config.settings,
                {[this] { return listed_ && !stopping_; },
                 [this](ClientRequest request) { Take(std::move(request)); },
                 [this](const std::string& id) {
                   if (Flow* const flow = Find(id)) {
                     flow->answered = true;  // nothing is owed any more
+                    flow->http.reset();
                     flow->overdue.cancel();
                   }
                   Report(ClientGone{id});
@@ -104,10 +121,13 @@
   if (!settings_.ask_for_list) discovery_.Watch();
 }
 
+void Gateway::Reload(const Config& config) { discovery_.Move(config.discovery); }
+
 void Gateway::Take(ClientRequest request) {
   if (flows_.contains(request.id)) {  // two answers for one id could not be told apart
     HttpResponse response(http::status::conflict, 11);
     response.body() = "Req-Id is in use\n";
+    response.keep_alive(false);
     return request.answer(std::move(response));
   }
   Flow& flow = flows_.try_emplace(request.id, io_).first->second;
@@ -250,6 +270,7 @@
 void Gateway::Answer(Flow& flow, HttpResponse response) {
   if (std::exchange(flow.answered, true)) return;
   flow.overdue.cancel();
+  flow.http.reset();  // attempts that are still out have their own
   std::exchange(flow.answer, nullptr)(std::move(response));
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -28,6 +28,9 @@
 
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
+  // Takes over what a changed configuration may change while the gateway runs: where discovery is.
+  void Reload(const Config& config);
+
   // A planned end: goes on accepting for a moment, answers all that was taken, then calls `done`.
   void Stop(std::function<void()> done);
 
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 #include "clock.hpp"
@@ -22,6 +23,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr double kIdleShare = 1.0 / 3;  // part of the hosts' idle limit after which a connection is closed
+constexpr int kMostInterim = 8;         // 1xx answers ahead of the final one
+constexpr std::size_t kMostBuffer = 32768;  // holds a whole head; bodies pass through it
 
 // Only 503 and 504 with Srv-Declined prove that a request never ran.
 Result ToResult(const HttpResponse& response) {
@@ -32,10 +35,22 @@
   return declines && response["Srv-Declined"] == "1" ? Result::kRejected : Result::kError;
 }
 
+std::string Serialize(const HttpRequest& request, std::int64_t left) {
+  HttpRequest outgoing = request;
+  StripHopByHop(outgoing);
+  outgoing.version(11);
+  outgoing.keep_alive(true);
+  outgoing.prepare_payload();
+  outgoing.set("Req-Deadline", std::to_string(std::max<std::int64_t>(1, left)) + "m");
+  std::ostringstream text;
+  text << outgoing;
+  return std::move(text).str();
+}
+
 }  // namespace
 
-// A connection, from its dial to its close. A read is always on, so that a close by the host is noticed while
-// the connection stands idle.
+// A connection, from its dial to its close. Between requests nothing is read: whatever can be read then, a
+// close or bytes that no request asked for, ends the connection.
 class HostPool::Connection : public std::enable_shared_from_this<Connection> {
  public:
   struct Job {
@@ -73,13 +88,15 @@
     Write();
   }
 
-  // Whether the host has neither closed an idle connection nor sent anything on it. The pending read may not
+  // Whether the host has neither closed an idle connection nor sent anything on it. The pending wait may not
   // have been told yet, so the socket itself is asked.
   bool Fresh() {
     char byte = 0;
-    return open_ && ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+    return open_ && buffer_.size() == 0 &&
+           ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
            (errno == EAGAIN || errno == EWOULDBLOCK);
   }
+  Millis rested_at() const { return rested_at_; }
 
   // Ends the job, if there is one, and the connection with it.
   void End(Result result) {
@@ -98,7 +115,10 @@
  private:
   void Take(Job job) {
     job_ = std::move(job);
-    written_ = broken_ = false;
+    outgoing_.clear();
+    written_ = 0;
+    interim_ = 0;
+    ++turn_;  // the wait of an idle connection means nothing any more
     pool_.active_[job_->attempt] = shared_from_this();
   }
 
@@ -117,13 +137,15 @@
     });
   }
 
+  bool WrittenWhole() const { return !outgoing_.empty() && written_ == outgoing_.size(); }
+
   void TimeUp() {
     if (Now() < due_ - 1) return;  // set anew when this wait was already due
     if (!job_) {
       pool_.Forget(host_, this);
       return Close();
     }
-    End(written_ ? Result::kTimedOut : Result::kConnectFailed);
+    End(WrittenWhole() ? Result::kTimedOut : Result::kConnectFailed);
   }
 
   void Dialled(error_code ec) {
@@ -131,53 +153,65 @@
     // The dial took time: the host may have begun to drain, or may have moved.
     if (!pool_.MayUse(host_, address_)) return End(Result::kNotSent);
     Arm(job_->deadline);
-    Read();
     Write();
   }
 
   void Write() {
-    outgoing_ = *job_->request;
-    StripHopByHop(outgoing_);
-    outgoing_.version(11);
-    outgoing_.keep_alive(true);
-    outgoing_.prepare_payload();
-    outgoing_.set("Req-Deadline", std::to_string(std::max<std::int64_t>(1, Left())) + "m");
-    http::async_write(socket_, outgoing_,
-                      [self = shared_from_this(), attempt = job_->attempt](error_code ec, std::size_t) {
-                        if (self->job_ && self->job_->attempt == attempt) self->Written(ec);
-                      });
+    outgoing_ = Serialize(*job_->request, static_cast<std::int64_t>(job_->deadline - Now()));
+    job_->request.reset();
+    error_code ec;
+    socket_.non_blocking(true, ec);
+    if (ec) return End(Result::kConnectFailed);
+    WriteMore();
   }
 
-  std::int64_t Left() const { return static_cast<std::int64_t>(job_->deadline - Now()); }
-
-  void Written(error_code ec) {
-    if (ec) return End(Result::kConnectFailed);  // its last byte never left: it can't have run
-    written_ = true;
-    if (broken_) End(Result::kReset);
+  // Counts what the kernel took at the moment it takes it: an asynchronous write would tell later, and a
+  // time-out in between would call a request never sent that its host has.
+  void WriteMore() {
+    error_code ec;
+    while (written_ < outgoing_.size() && !ec) {
+      written_ += socket_.write_some(asio::buffer(outgoing_) + written_, ec);
+    }
+    if (ec && ec != asio::error::would_block) return End(Result::kConnectFailed);  // its last byte never left
+    if (WrittenWhole()) return ReadHead();
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this(), turn = turn_](error_code) {
+      if (self->open_ && self->turn_ == turn) self->WriteMore();
+    });
   }
 
-  void Read() {
+  void ReadHead() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
+    http::async_read_header(socket_, buffer_, *parser_,
+                            [self = shared_from_this()](error_code ec, std::size_t) {
+                              if (self->open_) self->HeadRead(ec);
+                            });
+  }
+
+  // What can't be read, or can't be proved whole, is no answer: the request may have run.
+  void HeadRead(error_code ec) {
+    if (ec) return End(Result::kReset);
+    const auto& head = parser_->get();
+    if (head.result_int() / 100 == 1) {  // by number: the library has no name for all of them
+      if (++interim_ > kMostInterim || head.result() == http::status::switching_protocols) {
+        return End(Result::kReset);
+      }
+      return ReadHead();
+    }
+    const auto length = parser_->content_length();
+    if (FramingOf(head) != Framing::kDelimited || (length && *length > kMostBody)) return End(Result::kReset);
+    if (parser_->is_done()) return Received({});
     http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
       if (self->open_) self->Received(ec);
     });
   }
 
   void Received(error_code ec) {
-    if (!job_) {  // closed, or spoken on unasked, while idle
-      pool_.Forget(host_, this);
-      return Close();
-    }
-    if (!written_) {  // whether it may have run depends on how the write ends
-      broken_ = true;
-      return;
-    }
     // Seen with Boost 1.74: an answer one byte over the parser's own limit got through.
     if (ec || parser_->get().body().size() > kMostBody) return End(Result::kReset);
     HttpResponse response = parser_->release();
-    const bool reusable = response.keep_alive() && buffer_.size() == 0 && pool_.MayUse(host_, address_);
+    const bool reusable = response.keep_alive() && Fresh() && pool_.MayUse(host_, address_);
     // Back to the pool before the outcome is told, for it may lead to the next send.
     if (reusable) {
       Rest();
@@ -189,8 +223,16 @@
   }
 
   void Rest() {
-    Read();
-    Arm(Now() + pool_.limits_.idle_timeout * kIdleShare);
+    parser_.reset();
+    outgoing_ = {};
+    if (buffer_.capacity() > 4096) buffer_.shrink_to_fit();
+    rested_at_ = Now();
+    Arm(rested_at_ + pool_.limits_.idle_timeout * kIdleShare);
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), turn = ++turn_](error_code) {
+      if (!self->open_ || self->turn_ != turn) return;
+      self->pool_.Forget(self->host_, self.get());
+      self->Close();
+    });
     pool_.hosts_[host_].idle.push_back(shared_from_this());
   }
 
@@ -200,13 +242,15 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   Millis due_ = 0;
-  boost::beast::flat_buffer buffer_;
+  Millis rested_at_ = 0;
+  boost::beast::flat_buffer buffer_{kMostBuffer};
   std::optional<http::response_parser<http::string_body>> parser_;
-  HttpRequest outgoing_;
+  std::string outgoing_;
+  std::size_t written_ = 0;  // bytes of it that the kernel has taken
+  int interim_ = 0;
+  std::uint64_t turn_ = 0;
   std::optional<Job> job_;
   bool open_ = false;
-  bool written_ = false;  // all of the request
-  bool broken_ = false;   // before it was known to be written
 };
 
 HostPool::HostPool(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
@@ -270,15 +314,18 @@
   for (const auto& connection : std::exchange(host.idle, {})) connection->Close();
 }
 
-// Makes room by closing the connection of another host that was used longest ago there.
+// Makes room by closing the connection that has been idle for longest. Each host's are in that order.
 bool HostPool::EvictIdle() {
+  HostState* oldest = nullptr;
   for (auto& [id, host] : hosts_) {
     if (host.idle.empty()) continue;
-    host.idle.front()->Close();
-    host.idle.erase(host.idle.begin());
-    return true;
+    if (oldest == nullptr || host.idle.front()->rested_at() < oldest->idle.front()->rested_at())
+      oldest = &host;
   }
-  return false;
+  if (oldest == nullptr) return false;
+  oldest->idle.front()->Close();
+  oldest->idle.erase(oldest->idle.begin());
+  return true;
 }
 
 bool HostPool::MayUse(const std::string& host, const tcp::endpoint& address) const {
--- a/src/gateway/http_types.hpp
+++ b/src/gateway/http_types.hpp
@@ -2,6 +2,7 @@
 #ifndef OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
 #define OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
@@ -24,6 +25,20 @@
   }
 }
 
+// What a head says of where its body ends, beyond what the parser demands: it lets some codings and repeated
+// lengths pass, by which two readers of one message may find different ends.
+enum class Framing { kNone, kDelimited, kAmbiguous };
+
+template <typename Head>
+Framing FramingOf(const Head& head) {
+  using boost::beast::http::field;
+  const auto lengths = head.count(field::content_length);
+  const auto codings = head.count(field::transfer_encoding);
+  if (lengths + codings == 0) return Framing::kNone;
+  const bool plain = codings == 0 || boost::beast::iequals(head[field::transfer_encoding], "chunked");
+  return lengths + codings == 1 && plain ? Framing::kDelimited : Framing::kAmbiguous;
+}
+
 }  // namespace opalswitch::gateway
 
 #endif  // OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -181,6 +181,42 @@
          asio::post(r.on->socket.get_executor(), [on = r.on] { on->Close(); });
        },
        true},
+      {"a body without an end",
+       [](const auto& r) {
+         r.on->Raw("HTTP/1.1 200 OK\r\n\r\nsome");
+         asio::post(r.on->socket.get_executor(), [on = r.on] { on->Close(); });
+       },
+       true},
+      {"two lengths",
+       [](const auto& r) {
+         r.on->Raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok");
+       },
+       true},
+      {"a length and a coding",
+       [](const auto& r) {
+         r.on->Raw(
+             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+       },
+       true},
+      {"another coding",
+       [](const auto& r) {
+         r.on->Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+       },
+       true},
+      {"a negative length",
+       [](const auto& r) { r.on->Raw("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"); }, true},
+      {"3 GB to come",  // told by the head: no byte of it is waited for
+       [](const auto& r) { r.on->Raw("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok"); }, true},
+      {"a head without an end",
+       [](const auto& r) { r.on->Raw("HTTP/1.1 200 OK\r\nX: " + std::string(70000, 'x')); }, true},
+      {"interim answers without an end",
+       [](const auto& r) {
+         std::string text;
+         for (int i = 0; i < 50; ++i) text += "HTTP/1.1 102 Processing\r\n\r\n";
+         r.on->Raw(text);
+       },
+       true},
       {"half a header",
        [](const auto& r) {
          r.on->Raw("HTTP/1.1 200 OK\r\nContent-");
@@ -318,6 +354,181 @@
   EXPECT_EQ(client->Await(2).body(), "two");
 }
 
+// Guards against an interim answer being taken for the final one.
+TEST(Gateway, ReadsOnBehindInterimAnswers) {
+  World world;
+  const auto client = world.Connect();
+  client->Send(ApiCall("r1", "pay"));
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 1; }));
+  world.host().requests[0].on->Raw(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfinal");
+  EXPECT_EQ(client->Await().result(), http::status::ok);
+  EXPECT_EQ(client->Await().body(), "final");
+}
+
+// Guards the next request against noise that came right behind an answer, or a moment after it.
+TEST(Gateway, NeverReusesAConnectionWithMoreThanAnAnswer) {
+  for (const bool at_once : {true, false}) {
+    SCOPED_TRACE(at_once);
+    World world;
+    Peer& host = world.host();
+    const auto client = world.Connect();
+    client->Send(ApiCall("r1"));
+    ASSERT_TRUE(world.Until([&] { return host.requests.size() == 1; }));
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none",
+                      noise = "HTTP/1.1 200 OK\r\nConte";
+    host.requests[0].on->Raw(at_once ? answer + noise : answer);
+    EXPECT_EQ(client->Await().body(), "one");
+    if (!at_once) {
+      host.requests[0].on->Raw(noise);
+      EXPECT_TRUE(world.Until([&] { return host.connections[0]->ended; }));
+    }
+    client->Send(ApiCall("r2"));
+    ASSERT_TRUE(world.Until([&] { return host.requests.size() == 2; }));
+    EXPECT_NE(host.requests[1].on, host.requests[0].on);
+    host.requests[1].Answer(200, "two");
+    EXPECT_EQ(client->Await(2).body(), "two");
+  }
+}
+
+// Guards rule 2 against a message with two ends: what one reader takes for its body another takes for a
+// request.
+TEST(Gateway, RefusesWhatCouldHideAnotherRequest) {
+  const std::string head = "POST /api HTTP/1.1\r\nReq-Id: a\r\nReq-Kind: pay\r\nReq-Deadline: 900m\r\n";
+  const std::string hidden = ApiCall("hidden", "pay");
+  const std::vector<std::string> bad = {
+      head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+      head + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + hidden,
+      head + "Content-Length: 0\r\nContent-Length: 0\r\n\r\n" + hidden,
+      head + "Content-Length: 0\r\nContent-Length: 9\r\n\r\n" + hidden,
+      head + "Content-Length: -1\r\n\r\n" + hidden,
+      head + "Content-Length: 99999999999999999999999\r\n\r\n" + hidden,
+      head + "Transfer-Encoding: gzip\r\n\r\n" + hidden,
+      head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden,
+      head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+      head + "Req-Id: b\r\nContent-Length: 0\r\n\r\n" + hidden,
+      head + "Req-Deadline: 90m\r\nContent-Length: 0\r\n\r\n" + hidden,
+  };
+  World world;
+  for (const std::string& text : bad) {
+    SCOPED_TRACE(text);
+    const auto client = world.Connect();
+    client->Send(text);
+    const unsigned status = client->Await().result_int();
+    EXPECT_TRUE(status == 400 || status == 413) << status;
+    EXPECT_FALSE(client->Await().keep_alive());
+    EXPECT_TRUE(client->AwaitEnd());
+    EXPECT_EQ(client->answers().size(), 1u);
+  }
+  EXPECT_TRUE(world.host().requests.empty());
+  const auto usual = world.Connect();  // a plain coding is fine
+  usual->Send(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 1; }));
+  EXPECT_EQ(world.host().requests[0].http.body(), "body");
+}
+
+// Guards the places of usual clients: those that say nothing, or half a request, are told off or closed in
+// time.
+TEST(ClientServer, EndsSilentAndHalfRequests) {
+  asio::io_context io;
+  Settings settings;
+  settings.classes.push_back({"view", 20000, 20000, 1, 0, Effect::kSafe, Group::kAll, 0});
+  gateway::ClientLimits limits;
+  limits.first_request = limits.whole_request = 1;
+  std::vector<gateway::ClientRequest> taken;
+  gateway::ClientServer server(
+      io, Loopback(), limits, settings,
+      {[] { return true; }, [&](gateway::ClientRequest r) { taken.push_back(std::move(r)); },
+       [](const std::string&) {}});
+  Client silent(io, server.address()), half(io, server.address()), body(io, server.address());
+  half.Send("GET /api HTTP/1.1\r\nReq-");
+  body.Send("POST /api HTTP/1.1\r\nContent-Length: 100\r\n\r\nsome");
+  EXPECT_TRUE(silent.AwaitEnd());
+  EXPECT_TRUE(silent.answers().empty());
+  EXPECT_EQ(half.Await().result(), http::status::request_timeout);
+  EXPECT_EQ(body.Await().result(), http::status::request_timeout);
+  EXPECT_TRUE(half.AwaitEnd());
+  EXPECT_TRUE(taken.empty());
+}
+
+// Guards clients between requests against a crowd that connects and says nothing: the crowd makes room.
+TEST(ClientServer, EvictsTheSilentBeforeUsualClients) {
+  asio::io_context io;
+  Settings settings;
+  settings.classes.push_back({"view", 20000, 20000, 1, 0, Effect::kSafe, Group::kAll, 0});
+  gateway::ClientLimits limits;
+  limits.sessions = 4;
+  limits.first_request = limits.whole_request = limits.idle = 60000;
+  limits.arrival = 0;
+  gateway::ClientServer server(
+      io, Loopback(), limits, settings,
+      {[] { return true; }, [](gateway::ClientRequest) {}, [](const std::string&) {}});
+  Client usual(io, server.address());
+  usual.Send("GET /up HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(usual.Await().result(), http::status::ok);
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int i = 0; i < 20; ++i) {
+    crowd.push_back(std::make_unique<Client>(io, server.address()));
+    if (i % 2 == 0) crowd.back()->Send("GET /api HTT");
+  }
+  EXPECT_TRUE(RunUntil(io, [&] {
+    return std::count_if(crowd.begin(), crowd.end(), [](const auto& c) { return c->ended(); }) >= 17;
+  }));
+  EXPECT_FALSE(usual.ended());
+  usual.Send("GET /up HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(usual.Await(2).result(), http::status::ok);
+}
+
+// Guards a client whose request is still on its way against being closed for the next one that connects: it
+// would connect again, and so would all. The kept connection of one that asked before goes first.
+TEST(ClientServer, GivesANewClientAMomentForItsRequest) {
+  asio::io_context io;
+  Settings settings;
+  settings.classes.push_back({"view", 20000, 20000, 1, 0, Effect::kSafe, Group::kAll, 0});
+  gateway::ClientLimits limits;
+  limits.sessions = 3;
+  limits.arrival = limits.first_request = limits.idle = 60000;
+  gateway::ClientServer server(
+      io, Loopback(), limits, settings,
+      {[] { return true; }, [](gateway::ClientRequest) {}, [](const std::string&) {}});
+  Client stayed(io, server.address());
+  stayed.Send("GET /up HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(stayed.Await().result(), http::status::ok);
+  Client one(io, server.address()), two(io, server.address());
+  EXPECT_TRUE(stayed.AwaitEnd());
+  for (Client* client : {&one, &two}) {
+    client->Send("GET /up HTTP/1.1\r\n\r\n");
+    EXPECT_EQ(client->Await().result(), http::status::ok);
+  }
+}
+
+// Guards a move of discovery: the old call and its answer count for nothing, the whole list is asked for
+// anew, and a second word of the same address changes nothing.
+TEST(Gateway, FollowsDiscoveryToANewAddress) {
+  World world;
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 1; }));
+  Peer moved(world.io), host(world.io);
+  host.serve = [](const Peer::Taken& taken) { taken.Answer(200, "new"); };
+  gateway::Config config;
+  config.discovery = moved.address();
+  // On its way when the address changes: it names a host that must not be believed in.
+  world.discovery.requests[0].Answer(200, List(99, true, {Member("h9", world.host().address())}).dump());
+  world.gateway->Reload(config);
+  world.gateway->Reload(config);
+  ASSERT_TRUE(world.Until([&] { return moved.requests.size() == 1; }));
+  EXPECT_EQ(moved.requests[0].http.target(), "/discovery/hosts");
+  EXPECT_TRUE(world.Until([&] { return world.discovery.connections[0]->ended; }));
+  moved.requests[0].Answer(200, List(3, true, {Member("h1", host.address())}).dump());
+  ASSERT_TRUE(world.Until([&] { return moved.requests.size() == 2; }));
+  EXPECT_EQ(std::string(moved.requests[1].http.target()).find("/discovery/hosts?after=3&"), 0u);
+  const auto client = world.Connect();
+  client->Send(ApiCall("r1"));
+  EXPECT_EQ(client->Await().body(), "new");
+  EXPECT_EQ(moved.connections.size(), 1u);
+  EXPECT_EQ(world.discovery.requests.size(), 1u);
+}
+
 // Guards against work for a client that has left: the attempt is given up by closing its connection.
 TEST(Gateway, CancelsForAClientThatLeft) {
   World world;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -32,6 +32,7 @@
   }
 
   void Terminate() { kill(pid_, SIGTERM); }
+  void HangUp() { kill(pid_, SIGHUP); }
   bool Ended() {
     if (!ended_) ended_ = waitpid(pid_, &status_, WNOHANG) == pid_;
     return ended_;
@@ -131,5 +132,33 @@
   EXPECT_EQ(process.Wait(), 0);
 }
 
+// Guards a changed configuration: SIGHUP ends nothing, a broken file changes nothing and is told in one line,
+// and the file's discovery wins over the environment's, which still names the old one.
+TEST(Program, FollowsItsConfigurationOnSighup) {
+  asio::io_context io;
+  Peer old(io), moved(io);
+  nlohmann::json config = {{"seed", "1f"}, {"listen", "127.0.0.1:0"}, {"settings", TestSettings()}};
+  const File file(config.dump());
+  Process process({{"NODE_CONFIG", file.path}, {"NODE_DISCOVERY", ToText(old.address())}});
+  ASSERT_TRUE(RunUntil(io, [&] { return old.requests.size() == 1; }));
+  std::ofstream(file.path) << "{\"discovery\":";
+  process.HangUp();
+  ASSERT_TRUE(RunUntil(io, [&] { return !process.Errors().empty() && process.Errors().back() == '\n'; }));
+  const std::string errors = process.Errors();
+  EXPECT_EQ(std::count(errors.begin(), errors.end(), '\n'), 1) << errors;
+  EXPECT_FALSE(old.connections[0]->ended);
+  config["discovery"] = ToText(moved.address());
+  std::ofstream(file.path) << config.dump();
+  process.HangUp();
+  ASSERT_TRUE(RunUntil(io, [&] { return moved.requests.size() == 1; }));
+  EXPECT_TRUE(RunUntil(io, [&] { return old.connections[0]->ended; }));
+  process.HangUp();
+  process.Terminate();
+  process.HangUp();
+  EXPECT_TRUE(RunUntil(io, [&] { return process.Ended(); }));
+  EXPECT_EQ(process.Wait(), 0);
+  EXPECT_EQ(moved.requests.size(), 1u);
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
