Serve kept connections on after SIGTERM until 2.2 s

To blame: Gateway::Stop began the drain at once; each answer closed its connection, and the listener's close took the idle ones along, though clients go on using what stays open, and the new process does not come sooner for it. Ruled out: an early exit bringing an early restart (the outage lasted 4 s with a program that had ended by itself). Now the listener closes at 0.5 s as before, kept connections serve until 2.2 s, all is answered by 3.3 s.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -368,9 +368,7 @@
   });
 }
 
-void ClientServer::StopListening(std::function<void()> done) {
-  Drain();
-  stopped_ = std::move(done);
+void ClientServer::StopListening() {
   // Whoever stands in the queue has connected, and may have sent a request: to close on it would lose that.
   for (error_code ec; !Full();) {
     tcp::socket socket = acceptor_.accept(ec);
@@ -380,6 +378,11 @@
   error_code ignored;
   acceptor_.close(ignored);
   accept_again_.cancel();
+}
+
+void ClientServer::Drain(std::function<void()> done) {
+  draining_ = true;
+  stopped_ = std::move(done);
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all) {
     if (session->Idle()) session->Close();
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -53,11 +53,11 @@
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
-  // From now on each answer closes its connection.
-  void Drain() { draining_ = true; }
-  // Takes what has connected so far, then closes the listener and the connections between requests.
-  // `done` follows when the last connection is closed.
-  void StopListening(std::function<void()> done);
+  // Takes what has connected so far, then closes the listener.
+  void StopListening();
+  // Closes the connections between requests; from now on each answer closes its own. `done` follows when the
+  // last one is closed.
+  void Drain(std::function<void()> done);
 
  private:
   class Session;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,12 +19,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr Millis kMargin = 10;       // before a client leaves: answers travel, and timers may come late
-constexpr Millis kLastMargin = 4;    // before it leaves: what the policy has not answered by then is failed
-constexpr Millis kAcceptFor = 500;   // after SIGTERM: connections go on coming for up to 400
-constexpr Millis kAnswerAll = 3300;  // after SIGTERM: all deadlines are over, SIGKILL comes at 3,700 or later
-constexpr Millis kFlush = 200;       // for the last answers to leave
-constexpr Millis kAskAgain = 200;    // where lists are pushed: from a call that failed to the next
+constexpr Millis kMargin = 10;     // before a client leaves: answers travel, and timers may come late
+constexpr Millis kLastMargin = 4;  // before it leaves: what the policy has not answered by then is failed
+constexpr Millis kFlush = 200;     // for the last answers to leave
+constexpr Millis kAskAgain = 200;  // where lists are pushed: from a call that failed to the next
 constexpr std::size_t kSpareSockets = 24;  // listener, discovery, standard streams, the loop's own, and room
 constexpr double kHostShare = 0.45;  // of the descriptors left; an attempt out holds one, as its client does
 constexpr double kBodyShare = 0.15;  // of the memory: bodies are held twice while they are passed on
@@ -291,20 +289,25 @@
   }
 }
 
-void Gateway::Stop(std::function<void()> done) {
+void Gateway::Stop(std::function<void()> done, StopTimes times) {
   if (std::exchange(stopping_, true)) return;
-  clients_.Drain();
-  stop_.expires_after(Span(kAcceptFor));
-  stop_.async_wait([this, done = std::move(done)](error_code) {
-    clients_.StopListening(done);
-    stop_.expires_after(Span(kAnswerAll - kAcceptFor));
-    stop_.async_wait([this, done](error_code) {
-      std::vector<std::string> left;
-      for (const auto& [id, flow] : flows_) left.push_back(id);
-      for (const std::string& id : left) Overdue(id);
-      stop_.expires_after(Span(kFlush));
-      stop_.async_wait([done](error_code) { done(); });
-    });
+  const auto after = [this](Millis wait, auto next) {
+    stop_.expires_after(Span(wait));
+    stop_.async_wait([next = std::move(next)](error_code) { next(); });
+  };
+  const auto fail_rest = [this, after, done] {
+    std::vector<std::string> left;
+    for (const auto& [id, flow] : flows_) left.push_back(id);
+    for (const std::string& id : left) Overdue(id);
+    after(kFlush, done);
+  };
+  const auto drain = [this, after, done, times, fail_rest] {
+    clients_.Drain(done);
+    after(times.answer - times.serve, fail_rest);
+  };
+  after(times.accept, [this, after, times, drain] {
+    clients_.StopListening();
+    after(times.serve - times.accept, drain);
   });
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -31,8 +31,16 @@
   // Takes over what a changed configuration may change while the gateway runs: where discovery is.
   void Reload(const Config& config);
 
-  // A planned end: goes on accepting for a moment, answers all that was taken, then calls `done`.
-  void Stop(std::function<void()> done);
+  // A planned end, in times from its beginning. SIGKILL comes at 3,700 ms or later.
+  struct StopTimes {
+    Millis accept = 500;  // until then connections are taken: they go on coming for up to 400
+    Millis serve =
+        2200;  // until then those that are open are served as ever: their clients have nowhere better
+    Millis answer = 3300;  // by then all is answered: the rest is failed
+  };
+  // Takes, serves and answers as `times` say, then calls `done`.
+  void Stop(std::function<void()> done, StopTimes times);
+  void Stop(std::function<void()> done) { Stop(std::move(done), StopTimes()); }
 
  private:
   struct Attempt {
