--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,7 +33,6 @@
 constexpr double kBusySpare = 0.07;     // utilisation kept free of growth, times the root of the gateways
 constexpr double kBusyGain = 4;         // how hard limits shrink beyond that
 constexpr double kBusyWeight = 0.3;     // weight of a new report in a server's utilisation
-constexpr Millis kStaleReport = 1000;   // ms without anything new after which a report tells nothing
 constexpr double kSpareBusy = 0.6;      // utilisation above which spare traffic is held back
 constexpr double kSpareShare = 0.3;     // part of a limit open to traffic beyond its share
 constexpr double kManySharers = 8;      // gateways sharing a server beyond which none keeps a limit for it
@@ -226,14 +225,7 @@
 
   void Hear(Backend& b, const std::vector<double>& load) {
     if (busy_at_ >= load.size() || !(load[busy_at_] >= 0)) return;
-    // A live report is refreshed and noisy. One that stays the same for long tells of another time: believed
-    // in, it would hold the limit down for good where it was taken in a crowd.
-    if (load != b.report) {
-      b.report = load;
-      b.reported_at = now_;
-    }
-    const bool stale = now_ - b.reported_at > kStaleReport;
-    const double busy = stale ? 0 : std::min(load[busy_at_], 1.1);  // noise may show more than all
+    const double busy = std::min(load[busy_at_], 1.1);  // noise may show more than all
     b.busy += kBusyWeight * (busy - b.busy);
     b.kind->busy += kBusyWeight / 3 * (busy - b.kind->busy);
   }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -55,11 +55,9 @@
   double steady = 0;   // the same, smoothed over more samples
   double base = 0;     // the lowest of that: what it is when uncrowded
   int samples = 0;
-  double busy = 0;              // reported utilisation, smoothed
-  std::vector<double> report;   // the last one
-  Millis reported_at = kNever;  // when it last said anything new
-  double limit = 1;             // own requests it takes uncrowded; below 1 it rests between them
-  double places = 1;            // the limit rounded by chance to whole requests
+  double busy = 0;    // reported utilisation, smoothed
+  double limit = 1;   // own requests it takes uncrowded; below 1 it rests between them
+  double places = 1;  // the limit rounded by chance to whole requests
   Millis rests_until = kNever;
   double failing = 0;  // smoothed share of failures
   bool suspect = false;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -857,25 +857,25 @@
   EXPECT_EQ(g.sent[1].request, "first");
 }
 
-// Guards against a load report that stands still: full once, it must not hold the limit down for good.
-TEST(Ready, AReportThatStandsStillIsNotBelieved) {
-  const auto sent_at_once = [](bool frozen) {
-    Settings s = MakeSettings();
-    s.report_fields = {"inflight", "util"};
-    Gateway g(s);
-    g.Servers(1);
-    for (int i = 0; i < 200; ++i) {
+// Guards against a rate that is cut for connections that break, which are no sign of crowding: the fewer are
+// sent, the longer connections idle, and the more of them break.
+TEST(Rate, ResetsDoNotCutIt) {
+  const auto cut = [](Result result) {
+    Gateway g;
+    g.Servers(4);
+    g.Serve(100);
+    bool logged = false;
+    for (int i = 0; i < 60; ++i) {
       const std::string id = "r" + std::to_string(i);
-      g.Ask(id, "view", 20000);
-      g.now += 50;
-      g.Do(Outcome{id, 0, "s0", Result::kServed, true, 50, {frozen ? 5.0 : 5.0 + i % 3, 1.0}});
+      const std::string server = Gateway::SentTo(g.Ask(id, "pay"));
+      g.now += 30;
+      if (server.empty()) continue;
+      logged |= Gateway::Logged(g.End(id, server, i % 2 ? result : Result::kServed, 30), "rate cut");
     }
-    const std::size_t before = g.sent.size();
-    for (int i = 0; i < 10; ++i) g.Ask("now" + std::to_string(i), "view", 20000);
-    return g.sent.size() - before;
+    return logged;
   };
-  EXPECT_EQ(sent_at_once(false), 1u);
-  EXPECT_GE(sent_at_once(true), 2u);
+  EXPECT_TRUE(cut(Result::kError));
+  EXPECT_FALSE(cut(Result::kReset));
 }
 
 // Guards the gateway's descriptors: what can't be sent is held, and costs neither a token nor an attempt.
