Hold a host against what all hosts fail before leaving it out

Two resets in a row passed kErrOut, and a way back needs six good trials in a row, one at a time. At fault: Judge in src/policy.cpp, which looked at one host's failures alone.

Now a host is suspect when its failing share lies three standard deviations over that of all trusted hosts, and trusted again when it is within kErrBack of it. It covers anything that strikes all hosts alike, such as errors of a bad release. It could hurt where nearly all hosts fail and a few do not.

Loopback test: Gateway.KeepsHostsInThatResetNoMoreThanTheOthers.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -43,6 +43,8 @@
 constexpr double kErrWeight = 0.2;      // weight of a new outcome in a server's failing share
 constexpr double kErrOut = 0.3;         // failing share above which a server is suspect
 constexpr double kErrBack = 0.1;        // and below which, after trials, it is trusted again
+constexpr double kErrAll = 0.02;        // weight of a new outcome in the failing share of all trusted servers
+constexpr double kErrSpread = 3;        // standard deviations from that which chance is granted
 constexpr Millis kTrialGap = 300;       // ms to the first trial of a suspect; doubles
 constexpr Millis kTrialGapMost = 4000;  // ms; longest gap between trials
 constexpr Millis kLostAfter = 1000;     // ms of silence after which failed connections mean a death
@@ -230,6 +232,18 @@
     b.kind->busy += kBusyWeight / 3 * (busy - b.kind->busy);
   }
 
+  // Outlier detection: failures that all servers have alike (a network that resets connections, peers that
+  // spoil answers) say little of one of them, and leaving servers out for those leaves nowhere to send. So a
+  // server is held against what the trusted ones fail: out beyond chance's spread round that, back under it
+  // and a little more. With failures at one server alone both are the plain bounds. It also covers errors
+  // that a release brings to all hosts. It could hurt where nearly all fail and a few do not: these are not
+  // told apart until their failures differ by more than the spread.
+  double OutAbove() const {
+    const double deviation = std::sqrt(unserved_ * (1 - unserved_) * kErrWeight / (2 - kErrWeight));
+    return std::max(kErrOut, unserved_ + kErrSpread * deviation);
+  }
+  double BackBelow() const { return kErrBack + unserved_; }
+
   void Judge(Backend& b, const Flow& flow, const Outcome& outcome) {
     const bool served = outcome.result == Result::kServed;
     if (outcome.result == Result::kRejected) {  // full is not ill; its latency shows the crowding
@@ -244,16 +258,17 @@
     if (served) b.last_served = now_;
     if (served && Warmth(b) >= 1) warm_served_ += 1;
     if (!heavy) b.failing += kErrWeight * ((served ? 0.0 : 1.0) - b.failing);
+    if (!heavy && !b.suspect) unserved_ += kErrAll * ((served ? 0.0 : 1.0) - unserved_);
     if (served && b.suspect) {
       b.next_trial = now_;
       b.trial_gap = kTrialGap;
-      b.suspect = b.failing >= kErrBack;
+      b.suspect = b.failing >= BackBelow();
       if (b.lost) Renew(b, now_);
       if (!b.suspect) {
         Say("server " + b.info.id + " ready again");
         ChooseSubset();
       }
-    } else if (!served && !heavy && (b.failing > kErrOut || b.suspect)) {
+    } else if (!served && !heavy && (b.failing > OutAbove() || b.suspect)) {
       Suspect(b);
     }
     const double sample = outcome.latency / Relative(flow.cls);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -141,6 +141,7 @@
   Millis ask_at_ = kNever, ask_gap_ = 0;
   Millis cut_after_ = kNever, quiet_until_ = kNever;
   double tokens_ = 1, rate_ = 0, spent_rate_ = 0, failing_ = 0;
+  double unserved_ = 0;                     // failing share of all servers that are not suspect
   double arriving_ = 0;                     // requests per ms, smoothed
   double warm_served_ = 0, warm_time_ = 0;  // answers of warm servers, and their time, both fading
   Millis swept_at_ = 0;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <fstream>
 #include <map>
 
@@ -274,6 +275,27 @@
   }
 }
 
+// Guards against leaving hosts out for resets that all of them see alike: soon there is nowhere to send.
+TEST(Gateway, KeepsHostsInThatResetNoMoreThanTheOthers) {
+  ::testing::internal::CaptureStderr();
+  {
+    World world(4);
+    std::array<int, 4> taken{};
+    for (std::size_t i = 0; i < taken.size(); ++i) {
+      world.host(i).serve = [&, i](const Peer::Taken& request) {
+        ++taken[i] % 4 == 0 ? request.on->Reset() : request.Answer(200, "");
+      };
+    }
+    const auto client = world.Connect();
+    for (std::size_t i = 1; i <= 120; ++i) {
+      client->Send(ApiCall("r" + std::to_string(i), "pay"));
+      EXPECT_NE(client->Await(i).result_int(), 503u);  // sent, whatever came of it
+    }
+  }
+  const std::string words = ::testing::internal::GetCapturedStderr();
+  EXPECT_EQ(words.find("not ready"), std::string::npos) << words;
+}
+
 // Guards against a refused dial being taken for a request that may have run: the client may try again.
 TEST(Gateway, TellsARefusedDialAsNeverRun) {
   World world;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -878,6 +878,25 @@
   EXPECT_FALSE(cut(Result::kReset));
 }
 
+// Guards the other side of holding a server against the rest: where all fail now and then, the one that fails
+// every time is still left out, and the rest are not.
+TEST(Suspect, IsTheOneThatFailsMoreThanTheRest) {
+  Gateway g;
+  g.Servers(4);
+  std::map<std::string, int> taken, late;
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Gateway::SentTo(g.Ask(id, "pay"));
+    ASSERT_NE(server, "");
+    const int n = ++taken[server];
+    if (i >= 200) ++late[server];
+    g.now += 30;
+    g.End(id, server, (i >= 100 && server == "s2") || n % 4 == 0 ? Result::kReset : Result::kServed, 30);
+  }
+  EXPECT_EQ(late["s2"], 0);
+  for (const char* id : {"s0", "s1", "s3"}) EXPECT_GT(late[id], 30);
+}
+
 // Guards the gateway's descriptors: what can't be sent is held, and costs neither a token nor an attempt.
 TEST(Queues, SendsNoMoreThanTheGatewayHasRoomFor) {
   Settings s = MakeSettings();
