Let a host that turns requests away rest, instead of cutting the rate

A rejection left no trace in Judge, so the host looked idle and fast and drew the next request, and the cuts at 9.1 to 9.8 s all followed bursts of rejections with half of the places in use. Now such a host rests for one latency, and its rejections move no rate where limits are kept. It covers full queues, quotas of a host's own and hosts that shed early. It could hurt where one host is all there is. Loopback test: Gateway.RestsAHostThatTurnsAway.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -248,6 +248,8 @@
   void Judge(Backend& b, const Flow& flow, const Outcome& outcome) {
     const bool served = outcome.result == Result::kServed;
     if (outcome.result == Result::kRejected) {  // full is not ill; its latency shows the crowding
+      // Resting it keeps its quick refusals, which leave it idle, from drawing ever more to it.
+      b.rests_until = std::max(b.rests_until, now_ + b.latency);
       if (b.suspect) Suspect(b);  // but one that hangs fills up: a trial that it turns away has failed
       return;
     }
@@ -401,6 +403,8 @@
     // A connection that breaks says nothing of crowding. Cutting for it feeds on itself: the fewer are sent,
     // the longer connections idle, and the more of them are gone at the next request.
     if (b.suspect || outcome.result == Result::kReset) return;
+    // A server that is full rests, which is all that one server's fullness asks for where limits are kept.
+    if (outcome.result == Result::kRejected && sharers_ <= kManySharers) return;
     const bool served = outcome.result == Result::kServed;
     const bool timely = served && now_ <= flow.aim_at;
     failing_ += std::clamp(1 / (1 + rate_), kFailMemory, kErrWeight) * ((timely ? 0.0 : 1.0) - failing_);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -309,6 +309,41 @@
   EXPECT_EQ(words.find("rate cut"), std::string::npos) << words;
 }
 
+// Guards against a host that turns requests away drawing ever more of them, as it looks idle: it rests for as
+// long as an answer takes.
+TEST(Gateway, RestsAHostThatTurnsAway) {
+  auto settings = TestSettings();
+  settings.erase("report");
+  World world(2, settings);
+  constexpr auto kService = std::chrono::seconds(1);  // far longer than the rest of this test
+  asio::steady_timer served(world.io, kService);
+  const auto one = world.Connect(), two = world.Connect();
+  one->Send(ApiCall("r1"));
+  two->Send(ApiCall("r2"));
+  ASSERT_TRUE(
+      world.Until([&] { return world.host(0).requests.size() + world.host(1).requests.size() == 2; }));
+  ASSERT_EQ(world.host(0).requests.size(), 1u);
+  bool due = false;
+  served.async_wait([&](error_code) { due = true; });
+  ASSERT_TRUE(world.Until([&] { return due; }));
+  for (std::size_t i = 0; i < 2; ++i) world.host(i).requests[0].Answer(200, "");
+  one->Await();
+  two->Await();
+
+  int turned_away = 0;
+  world.host(0).serve = [&](const Peer::Taken& request) {
+    ++turned_away;
+    request.Answer(503, "", "Srv-Declined", "1");
+  };
+  std::vector<std::unique_ptr<Client>> clients;
+  for (std::size_t i = 0; i < 5; ++i) {  // the other host holds them all, and looks the worse for each
+    clients.push_back(world.Connect());
+    clients.back()->Send(ApiCall("s" + std::to_string(i)));
+    ASSERT_TRUE(world.Until([&] { return world.host(1).requests.size() == i + 2; }));
+  }
+  EXPECT_EQ(turned_away, 1);
+}
+
 // Guards against a refused dial being taken for a request that may have run: the client may try again.
 TEST(Gateway, TellsARefusedDialAsNeverRun) {
   World world;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -366,6 +366,9 @@
 // Guards against cuts for what no crowding can have caused: most places stand empty.
 TEST(Rate, FailuresOfServersThatStandIdleDoNot) { EXPECT_EQ(CutWhile(2, Result::kError), 0); }
 
+// Guards against cuts for one server's fullness: it rests, and that is answer enough.
+TEST(Rate, RejectionsDoNotCutIt) { EXPECT_EQ(CutWhile(20, Result::kRejected), 0); }
+
 TEST(Retry, RejectedRequestGoesToAnotherServer) {
   Gateway g;
   g.Servers(2);
