Make the first cut of the rate go by what was really sent

Seen: first cuts to 87/s at 0.74 s and 135/s at 1.28 s, while 200 a second were served. At fault: spent_rate_, an average over a second that starts at 0, read before a second has passed. Test: Rate.FirstCutGoesByWhatWasSentSoFar (injected time; over sockets the log line would depend on the machine).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -378,13 +378,19 @@
     const Millis passed = started_ ? std::max(0.0, now - now_) : 0;
     now_ = started_ ? std::max(now_, now) : std::isfinite(now) ? now : 0;  // this order also outlives NaN
     const bool first = rate_ <= 0 && up_ > 0;
-    if (first) rate_ = kStartRate * up_;
+    if (first) rate_ = kStartRate * up_, since_ = now_;
     const double full = std::max(2.0, rate_ * kBurst / 1000);
     tokens_ = first ? full : std::min(tokens_ + rate_ * passed / 1000, full);
     spent_rate_ *= std::exp(-passed / (kSpentMemory * (sharers_ > kManySharers ? 4 : 1)));
     arriving_ *= std::exp(-passed / kLongMemory);
   }
 
+  // The spent rate of the time that has passed: at the start, of less than its memory.
+  double Spent() const {
+    const Millis memory = kSpentMemory * (sharers_ > kManySharers ? 4 : 1);
+    return spent_rate_ / -std::expm1(-std::max(1.0, now_ - since_) / memory);
+  }
+
   // Whether what is out could crowd the servers. A jam shows in what is in flight, however it came about, so
   // with most of the measured places empty failures have another cause, and sending less mends none of them:
   // a server that turns away beyond a rate of its own, a few heavy requests, an errand that fails everywhere.
@@ -412,7 +418,7 @@
       rate_ = std::min(rate_ + std::min(kRaise, kRaiseShare * rate_), kStartRate * std::max(1, up_));
     } else if (failing_ > (sharers_ > kManySharers ? kToleratedMany : kTolerated) && now_ >= cut_after_ &&
                Crowded()) {
-      rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, spent_rate_) * kCut);
+      rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, Spent()) * kCut);
       cut_after_ = now_ + std::max(100.0, Median());  // one cut a round trip
       Say("rate cut to " + std::to_string(static_cast<int>(rate_)) + "/s");
     }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -140,6 +140,7 @@
   Millis now_ = 0;
   Millis ask_at_ = kNever, ask_gap_ = 0;
   Millis cut_after_ = kNever, quiet_until_ = kNever;
+  Millis since_ = 0;  // when the first server was told of
   double tokens_ = 1, rate_ = 0, spent_rate_ = 0, failing_ = 0;
   double unserved_ = 0;                     // failing share of all servers that are not suspect
   double arriving_ = 0;                     // requests per ms, smoothed
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -366,6 +366,12 @@
 // Guards against cuts for what no crowding can have caused: most places stand empty.
 TEST(Rate, FailuresOfServersThatStandIdleDoNot) { EXPECT_EQ(CutWhile(2, Result::kError), 0); }
 
+// Guards against a first cut far below what is sent: the average over a second is not full yet.
+TEST(Rate, FirstCutGoesByWhatWasSentSoFar) {
+  EXPECT_GT(CutWhile(20, Result::kError), 120);
+  EXPECT_LT(CutWhile(20, Result::kError), 220);
+}
+
 // Guards against cuts for one server's fullness: it rests, and that is answer enough.
 TEST(Rate, RejectionsDoNotCutIt) { EXPECT_EQ(CutWhile(20, Result::kRejected), 0); }
 
