Close clients' idle connections before they shut other clients out

Ruled out: the rate (9000), suspects, load reports, hosts.

Past three tenths of the descriptors each answer now closes the connections that have idled longest, until there is room; never one with half a request, and never in a stop. It covers clients that ask once and keep their connection, and crowds that say nothing. It could hurt clients that come back after a pause, by a new connect. Loopback test: Gateway.ClosesTheLongestIdleWhereClientsHoldTooMany.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -242,7 +242,9 @@
     Enter(Phase::kReading);
     if (buffer_.size() == 0 && buffer_.capacity() > kKeptBuffer) buffer_.shrink_to_fit();
     ReadHead();
-    if (server_.stopped_ && Idle()) Close();
+    if (server_.stopped_ && Idle()) return Close();
+    while (server_.Crowded() && server_.Evict(/*idle_only=*/true)) {
+    }
   }
 
   // Closing with bytes unread would reset the connection, and could take the answer from the client. But one
@@ -337,14 +339,21 @@
 
 bool ClientServer::Waiting() const { return !accepting_ && acceptor_.is_open() && Full(); }
 
-// Makes room: the least worth keeping goes first, and among its like the one that stood for longest.
-bool ClientServer::Evict() {
+// Connections that clients keep after a request and don't use again count against what they may open: past
+// `usual` they shut further clients out, long before places run out here. In a stop the kept ones are all
+// that clients have left.
+bool ClientServer::Crowded() const { return sessions_.size() > limits_.usual && handlers_.ready(); }
+
+// Makes room: the least worth keeping goes first, and among its like the one that stood for longest. Where
+// there is still room none is closed that has begun a request, or is about to.
+bool ClientServer::Evict(bool idle_only) {
   const Millis now = Now();
   std::shared_ptr<Session> worst;
   std::pair<Standing, Millis> least;
   for (const auto& session : sessions_) {
     const std::pair rank(session->standing(now), session->since());
     if (rank.first == Standing::kKept || (worst && least <= rank) || !session->MayEvict()) continue;
+    if (idle_only && (rank.first == Standing::kHalfRequest || rank.first == Standing::kNew)) continue;
     worst = session;
     least = rank;
   }
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -29,6 +29,7 @@
 
 struct ClientLimits {
   std::size_t sessions = 256;
+  std::size_t usual = 256;              // past it each answer has the longest idle connection closed
   std::uint64_t body_bytes = 16 << 20;  // that requests may hold together
   Millis first_request = 2000;          // from connecting: who says nothing by then is closed
   Millis arrival = 250;                 // of this a new connection is as good as one with a request
@@ -69,7 +70,8 @@
   bool Full() const { return sessions_.size() >= limits_.sessions; }
   // Clients stand in the kernel's queue for want of a place.
   bool Waiting() const;
-  bool Evict();
+  bool Crowded() const;
+  bool Evict(bool idle_only = false);
   // Counts a body that is to be read; false if there is no room for it.
   bool Reserve(std::uint64_t bytes, std::size_t& held);
   void Sweep();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,6 +25,7 @@
 constexpr Millis kAskAgain = 200;  // where lists are pushed: from a call that failed to the next
 constexpr std::size_t kSpareSockets = 24;  // listener, discovery, standard streams, the loop's own, and room
 constexpr double kHostShare = 0.45;  // of the descriptors left; an attempt out holds one, as its client does
+constexpr double kUsualShare = 0.3;  // of all descriptors: clients hold a third of them at the most
 constexpr double kBodyShare = 0.15;  // of the memory: bodies are held twice while they are passed on
 constexpr double kMostLoad = 1e6;    // no host can report more of anything
 
@@ -54,6 +55,7 @@
   ClientLimits limits;
   const std::size_t usable = Usable(config.sockets), hosts = HostSockets(config.sockets);
   limits.sessions = usable > hosts ? usable - hosts : 1;
+  limits.usual = static_cast<std::size_t>(static_cast<double>(config.sockets) * kUsualShare);
   limits.body_bytes = static_cast<std::uint64_t>(std::max(1.0, config.memory_mb * kBodyShare) * (1 << 20));
   return limits;
 }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <functional>
@@ -770,6 +771,32 @@
   for (const auto& client : clients) EXPECT_EQ(client->Await().result_int(), 503u);
 }
 
+// Guards against clients that ask once and keep their connection for good shutting others out: past three
+// tenths of the descriptors those that have idled longest are closed. In a stop, kept ones are all that
+// clients have.
+TEST(Gateway, ClosesTheLongestIdleWhereClientsHoldTooMany) {
+  World world(1, TestSettings(), 100);
+  world.host().serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+  std::vector<std::unique_ptr<Client>> clients;
+  const auto ask_once = [&] {
+    clients.push_back(world.Connect());
+    clients.back()->Send(ApiCall("r" + std::to_string(clients.size())));
+    EXPECT_EQ(clients.back()->Await().result(), http::status::ok);
+  };
+  const auto open = [&] {
+    return std::count_if(clients.begin(), clients.end(), [](const auto& client) { return !client->ended(); });
+  };
+  for (int i = 0; i < 35; ++i) ask_once();
+  for (std::size_t i = 0; i < 5; ++i) EXPECT_TRUE(clients[i]->AwaitEnd());
+  EXPECT_EQ(open(), 30);
+
+  world.gateway->Stop([] {}, {20000, 20000, 20000});
+  ask_once();
+  clients[5]->Send(ApiCall("again"));
+  EXPECT_EQ(clients[5]->Await(2).result(), http::status::ok);
+  EXPECT_EQ(open(), 31);
+}
+
 // Guards a planned restart: not ready any more but still accepting, all that was taken is answered,
 // keep-alives end with Connection: close, idle ones are closed, and then it is done.
 TEST(Gateway, AnswersAllBeforeItStops) {
