Keep lost answers and broken connections out of latency and limits

At fault: Judge, which passed every failure slower than the average to Measure: one time-out of 300 ms against 5 raises a host's and its kind's latency for 20 answers, each of which shrinks all limits of the kind. Ruled out: suspects (0 to 2), the rate (9000 until limits had collapsed), dials, CPU. Now a time-out while others were answered, and a connection that broke, teach no latency, as they already taught no failing share or no rate. It covers answers lost on the way, silent connections and single heavy requests. It could hurt at a host that answers few so late that most run out of time; those few show it. Loopback test: Gateway.SendsAsMuchToAHostThoughAnswersAreLost.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -275,8 +275,10 @@
       Suspect(b);
     }
     const double sample = outcome.latency / Relative(flow.cls);
-    // A failure never lowers the latency: fast errors would look like a fast server.
-    if (served || sample > b.latency) Measure(b, sample, served);
+    // A failure never lowers the latency: fast errors would look like a fast server. And an answer that never
+    // came, though others did, or a connection that broke, took no time of the server's: it was lost on the
+    // way. It could hurt at a server that answers few so late that most run out of time; these few show it.
+    if (served || (!heavy && !dropped && sample > b.latency)) Measure(b, sample, served);
     // A few gateways may have to share a server that takes fewer requests than there are gateways.
     if (b.limit < 1) b.rests_until = now_ + outcome.latency * (1 / b.limit - 1);
     // Drawn anew each time: rounding up would crowd a server by a request for each gateway.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -345,6 +345,39 @@
   EXPECT_EQ(turned_away, 1);
 }
 
+// Guards against answers that are lost on the way passing for a slow host: its limit must not shrink by them.
+TEST(Gateway, SendsAsMuchToAHostThoughAnswersAreLost) {
+  auto settings = TestSettings();
+  settings.erase("report");
+  World world(1, settings);
+  Peer& host = world.host();
+  host.serve = [&](const Peer::Taken& taken) {
+    if (taken.http["Req-Id"].starts_with("lost")) return;
+    const auto work = std::make_shared<asio::steady_timer>(world.io, std::chrono::milliseconds(50));
+    work->async_wait([work, taken](error_code) { taken.Answer(200, ""); });
+  };
+  const auto client = world.Connect();
+  std::size_t asked = 0;
+  const auto ask = [&] {
+    client->Send(ApiCall("r" + std::to_string(++asked)));
+    EXPECT_EQ(client->Await(asked).result(), http::status::ok);
+  };
+  for (int i = 0; i < 10; ++i) ask();
+  std::vector<std::unique_ptr<Client>> others;
+  for (int i = 0; i < 6; ++i) {
+    others.push_back(world.Connect());
+    others.back()->Send(ApiCall("lost" + std::to_string(i), "pay", "900m"));
+  }
+  while (!std::all_of(others.begin(), others.end(), [](const auto& o) { return o->answers().size() == 1; })) {
+    ask();  // others are answered meanwhile
+  }
+  for (int i = 0; i < 10; ++i) ask();  // the limit follows the latency with each answer
+  host.serve = nullptr;
+  const std::size_t before = host.requests.size();
+  for (int i = 0; i < 5; ++i) others[i]->Send(ApiCall("held" + std::to_string(i)));
+  EXPECT_TRUE(RunUntil(world.io, [&] { return host.requests.size() == before + 5; }));
+}
+
 // Guards against a refused dial being taken for a request that may have run: the client may try again.
 TEST(Gateway, TellsARefusedDialAsNeverRun) {
   World world;
