--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,5 +1,5 @@
 // The decisions of opalswitch. Their interface (settings, events, actions) is
-// include/opalswitch/policy.hpp. docs/design.md tells the mechanism and when each departure acts.
+// include/opalswitch/policy.hpp. Each mechanism is told where it stands, with when it acts.
 #include "opalswitch/policy.hpp"
 
 #include <algorithm>
