Move the gateway's files to the rooms that the house names for them

Several front ends, pools and sources of hosts are to come; with all files in one folder nothing says who may use whom. Moved, and the host list and endpoint reader split from discovery; no behaviour changed.

--- a/src/gateway/main.cpp
+++ b/src/apps/forkwick.cpp
@@ -9,8 +9,8 @@
 #include <exception>
 #include <functional>
 
-#include "config.hpp"
-#include "gateway.hpp"
+#include "config/platform_config.hpp"
+#include "gateway/gateway.hpp"
 
 namespace {
 
--- a/src/gateway/clock.hpp
+++ b/src/base/clock.hpp
@@ -1,6 +1,6 @@
 // The gateway's one clock: the monotonic one, shifted once at the start so that it reads Unix time.
-#ifndef OPALSWITCH_GATEWAY_CLOCK_HPP_
-#define OPALSWITCH_GATEWAY_CLOCK_HPP_
+#ifndef OPALSWITCH_BASE_CLOCK_HPP_
+#define OPALSWITCH_BASE_CLOCK_HPP_
 
 #include <chrono>
 
@@ -26,4 +26,4 @@
 
 }  // namespace opalswitch::gateway
 
-#endif  // OPALSWITCH_GATEWAY_CLOCK_HPP_
+#endif  // OPALSWITCH_BASE_CLOCK_HPP_
--- /dev/null
+++ b/src/base/endpoint.cpp
@@ -0,0 +1,24 @@
+#include "base/endpoint.hpp"
+
+#include <charconv>
+#include <cstdint>
+
+namespace opalswitch::gateway {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  error_code ec;
+  const auto address = asio::ip::make_address(text.substr(0, colon), ec);
+  std::uint16_t port = 0;
+  const char* const last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
+  if (ec || error != std::errc() || end != last) return std::nullopt;
+  return tcp::endpoint(address, port);
+}
+
+}  // namespace opalswitch::gateway
--- a/src/gateway/http_types.hpp
+++ b/src/base/http_types.hpp
@@ -1,6 +1,6 @@
 // The messages that clients, gateway and hosts exchange, and what they have in common.
-#ifndef OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
-#define OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
+#ifndef OPALSWITCH_BASE_HTTP_TYPES_HPP_
+#define OPALSWITCH_BASE_HTTP_TYPES_HPP_
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/message.hpp>
@@ -41,4 +41,4 @@
 
 }  // namespace opalswitch::gateway
 
-#endif  // OPALSWITCH_GATEWAY_HTTP_TYPES_HPP_
+#endif  // OPALSWITCH_BASE_HTTP_TYPES_HPP_
--- a/src/gateway/config.cpp
+++ b/src/config/platform_config.cpp
@@ -1,10 +1,11 @@
-#include "config.hpp"
+#include "config/platform_config.hpp"
 
 #include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "base/endpoint.hpp"
 #include "wire.hpp"
 
 namespace opalswitch::gateway {
--- a/src/gateway/config.hpp
+++ b/src/config/platform_config.hpp
@@ -1,6 +1,6 @@
 // What the platform tells a gateway: the NODE_* variables and the JSON file that they name.
-#ifndef OPALSWITCH_GATEWAY_CONFIG_HPP_
-#define OPALSWITCH_GATEWAY_CONFIG_HPP_
+#ifndef OPALSWITCH_CONFIG_PLATFORM_CONFIG_HPP_
+#define OPALSWITCH_CONFIG_PLATFORM_CONFIG_HPP_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-#include "discovery.hpp"
+#include "membership/host_list.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch::gateway {
@@ -38,4 +38,4 @@
 
 }  // namespace opalswitch::gateway
 
-#endif  // OPALSWITCH_GATEWAY_CONFIG_HPP_
+#endif  // OPALSWITCH_CONFIG_PLATFORM_CONFIG_HPP_
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,4 +1,4 @@
-#include "gateway.hpp"
+#include "gateway/gateway.hpp"
 
 #include <sys/resource.h>
 
@@ -10,7 +10,7 @@
 #include <utility>
 #include <variant>
 
-#include "clock.hpp"
+#include "base/clock.hpp"
 
 namespace opalswitch::gateway {
 namespace {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -13,11 +13,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "client_server.hpp"
-#include "config.hpp"
-#include "discovery.hpp"
-#include "host_pool.hpp"
+#include "config/platform_config.hpp"
+#include "http/client_server.hpp"
+#include "membership/discovery.hpp"
 #include "opalswitch/policy.hpp"
+#include "upstream/host_pool.hpp"
 
 namespace opalswitch::gateway {
 
--- a/src/gateway/client_server.cpp
+++ b/src/http/client_server.cpp
@@ -1,4 +1,4 @@
-#include "client_server.hpp"
+#include "http/client_server.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "clock.hpp"
+#include "base/clock.hpp"
 
 namespace opalswitch::gateway {
 namespace {
--- a/src/gateway/client_server.hpp
+++ b/src/http/client_server.hpp
@@ -1,6 +1,6 @@
 // The side that clients see: the listener, /up, the parsing of requests, and the one answer to each.
-#ifndef OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
-#define OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
+#ifndef OPALSWITCH_HTTP_CLIENT_SERVER_HPP_
+#define OPALSWITCH_HTTP_CLIENT_SERVER_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,7 +12,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "http_types.hpp"
+#include "base/http_types.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch::gateway {
@@ -95,4 +95,4 @@
 
 }  // namespace opalswitch::gateway
 
-#endif  // OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
+#endif  // OPALSWITCH_HTTP_CLIENT_SERVER_HPP_
--- a/src/gateway/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -1,13 +1,12 @@
-#include "discovery.hpp"
+#include "membership/discovery.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
-#include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
 
-#include "clock.hpp"
+#include "base/clock.hpp"
 
 namespace opalswitch::gateway {
 namespace {
@@ -15,7 +14,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using nlohmann::json;
 using tcp = asio::ip::tcp;
 
 constexpr Millis kWait = 5000;  // how long one call of the watch may wait: a cut-off shows only after it
@@ -25,59 +23,8 @@
 constexpr Millis kCallGap = 100;  // least time from call to call; the watch lapses after 200
 constexpr std::size_t kMostList = 8 << 20;
 
-ServerState ToState(const std::string& phase) {
-  if (phase == "up") return ServerState::kUp;
-  if (phase == "draining") return ServerState::kDraining;
-  if (phase == "removed") return ServerState::kGone;
-  throw std::invalid_argument("phase");
-}
-
-Host ToHost(const json& entry) {
-  Host host;
-  Server& server = host.server;
-  server.id = entry.at("id").get<std::string>();
-  if (server.id.empty()) throw std::invalid_argument("id");
-  server.state = ToState(entry.at("phase").get<std::string>());
-  server.zone = entry.value("locality", "");
-  server.kind = entry.value("flavor", "");
-  if (entry.contains("cell")) server.cell = entry["cell"].dump();
-  server.weight = entry.value("size", 1.0);
-  server.started_at = entry.value("up_since_ms", 0.0);
-  const auto address = ParseEndpoint(entry.value("host_port", ""));
-  if (!address && server.state != ServerState::kGone) throw std::invalid_argument("host_port");
-  if (address) host.address = *address;
-  return host;
-}
-
 }  // namespace
 
-std::optional<tcp::endpoint> ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  error_code ec;
-  const auto address = asio::ip::make_address(text.substr(0, colon), ec);
-  std::uint16_t port = 0;
-  const char* const last = text.data() + text.size();
-  const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
-  if (ec || error != std::errc() || end != last) return std::nullopt;
-  return tcp::endpoint(address, port);
-}
-
-std::optional<HostList> ParseHostList(std::string_view text) {
-  try {
-    const json parsed = json::parse(text);
-    HostList list;
-    list.revision = parsed.at("revision").get<std::int64_t>();
-    list.complete = parsed.at("complete").get<bool>();
-    for (const json& entry : parsed.at("members")) list.hosts.push_back(ToHost(entry));
-    return list;
-  } catch (const json::exception&) {
-    return std::nullopt;
-  } catch (const std::invalid_argument&) {
-    return std::nullopt;
-  }
-}
-
 // One call and all that its handlers use, so that those of a call given up touch nothing of the next.
 struct Discovery::Call {
   explicit Call(asio::io_context& io) : timer(io) { parser.body_limit(kMostList); }
--- a/src/gateway/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -1,6 +1,6 @@
-// The list of hosts: its form, and the watch on discovery that keeps it up to date.
-#ifndef OPALSWITCH_GATEWAY_DISCOVERY_HPP_
-#define OPALSWITCH_GATEWAY_DISCOVERY_HPP_
+// The watch on discovery that keeps the list of hosts up to date.
+#ifndef OPALSWITCH_MEMBERSHIP_DISCOVERY_HPP_
+#define OPALSWITCH_MEMBERSHIP_DISCOVERY_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,30 +9,11 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string>
-#include <string_view>
-#include <vector>
 
-#include "opalswitch/policy.hpp"
+#include "membership/host_list.hpp"
 
 namespace opalswitch::gateway {
 
-struct Host {
-  Server server;
-  boost::asio::ip::tcp::endpoint address;
-};
-
-struct HostList {
-  std::int64_t revision = 0;
-  bool complete = true;  // else only what changed
-  std::vector<Host> hosts;
-};
-
-// "10.1.0.18:3000"; nothing if it is anything else.
-std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text);
-// Nothing if the text is broken in any part: half a list must not pass for a whole one.
-std::optional<HostList> ParseHostList(std::string_view text);
-
 class Discovery {
  public:
   struct Handlers {
@@ -70,4 +51,4 @@
 
 }  // namespace opalswitch::gateway
 
-#endif  // OPALSWITCH_GATEWAY_DISCOVERY_HPP_
+#endif  // OPALSWITCH_MEMBERSHIP_DISCOVERY_HPP_
--- a/src/gateway/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -1,4 +1,4 @@
-#include "host_pool.hpp"
+#include "upstream/host_pool.hpp"
 
 #include <sys/socket.h>
 
@@ -12,7 +12,7 @@
 #include <sstream>
 #include <utility>
 
-#include "clock.hpp"
+#include "base/clock.hpp"
 
 namespace opalswitch::gateway {
 namespace {
--- a/src/gateway/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -1,6 +1,6 @@
 // Connections to hosts: one request on each at a time, the most recently used first.
-#ifndef OPALSWITCH_GATEWAY_HOST_POOL_HPP_
-#define OPALSWITCH_GATEWAY_HOST_POOL_HPP_
+#ifndef OPALSWITCH_UPSTREAM_HOST_POOL_HPP_
+#define OPALSWITCH_UPSTREAM_HOST_POOL_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,8 +13,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "discovery.hpp"
-#include "http_types.hpp"
+#include "base/http_types.hpp"
+#include "membership/host_list.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch::gateway {
@@ -67,4 +67,4 @@
 
 }  // namespace opalswitch::gateway
 
-#endif  // OPALSWITCH_GATEWAY_HOST_POOL_HPP_
+#endif  // OPALSWITCH_UPSTREAM_HOST_POOL_HPP_
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -9,8 +9,8 @@
 #include <functional>
 #include <map>
 
-#include "gateway/clock.hpp"
-#include "gateway/config.hpp"
+#include "base/clock.hpp"
+#include "config/platform_config.hpp"
 #include "peers.hpp"
 
 namespace opalswitch::testing {
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "gateway/http_types.hpp"
+#include "base/http_types.hpp"
 
 namespace opalswitch::testing {
 
