--- /dev/null
+++ b/bench/isolation.cpp
@@ -0,0 +1,240 @@
+// What two healthy pools lose beside one that is broken: served share and 99th percentile, alone and beside,
+// in turn.
+//   isolation [ROUNDS]
+// The gateway, its hosts and its clients have a process each. Healthy clients ask at a steady rate (open
+// loop: late answers don't lower it); the broken pool's ask again as soon as they are answered.
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+
+#include "config/services.hpp"
+#include "gateway/service_gateway.hpp"
+#include "standins/load.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+constexpr std::size_t kCallers = 64;  // a pool's, each with a connection
+constexpr double kRate = 800;         // requests a second into each healthy pool
+constexpr int kSeconds = 4;
+constexpr std::size_t kBrokenCallers = 200;
+
+// Requests at a fixed rate, each sent at its time; its latency counts from that time.
+class Steady {
+ public:
+  Steady(asio::io_context& io, const tcp::endpoint& at, std::string request, double rate, std::size_t total)
+      : io_(io), at_(at), request_(std::move(request)), gap_(1 / rate), total_(total), timer_(io) {
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      idle_.push_back(std::make_shared<Line>(io_));
+      idle_.back()->socket.connect(at_);
+      idle_.back()->socket.set_option(tcp::no_delay(true));
+    }
+    begun_ = Clock::now();
+    Tick();
+  }
+  bool Done() const { return answered_ + lost_ == total_; }
+  double Share() const { return static_cast<double>(times.size()) / static_cast<double>(total_); }
+  double Quantile(double part) {
+    if (times.empty()) return NAN;
+    std::sort(times.begin(), times.end());
+    return times[static_cast<std::size_t>(part * static_cast<double>(times.size() - 1))];
+  }
+  std::vector<double> times;
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  struct Line {
+    explicit Line(asio::io_context& io) : socket(io) {}
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+  };
+
+  Clock::time_point TimeOf(std::size_t i) const {
+    return begun_ + std::chrono::duration_cast<Clock::duration>(
+                        std::chrono::duration<double>(gap_ * static_cast<double>(i)));
+  }
+  void Tick() {
+    if (sent_ == total_) return;
+    timer_.expires_at(TimeOf(sent_));
+    timer_.async_wait([this](error_code ec) {
+      if (ec) return;
+      while (sent_ < total_ && TimeOf(sent_) <= Clock::now()) Ask(TimeOf(sent_++));
+      Tick();
+    });
+  }
+  void Ask(Clock::time_point due) {
+    if (idle_.empty()) {  // more are out than there are connections
+      ++lost_;
+      return;
+    }
+    const auto line = idle_.back();
+    idle_.pop_back();
+    asio::async_write(line->socket, asio::buffer(request_), [this, line, due](error_code ec, std::size_t) {
+      if (ec) return Lost(line);
+      line->parser.emplace();
+      http::async_read(
+          line->socket, line->buffer, *line->parser, [this, line, due](error_code read_ec, std::size_t) {
+            if (read_ec) return Lost(line);
+            ++answered_;
+            if (line->parser->get().result_int() == 200) {
+              times.push_back(std::chrono::duration<double, std::milli>(Clock::now() - due).count());
+            }
+            line->parser->get().keep_alive() ? idle_.push_back(line) : Renew(line);
+          });
+    });
+  }
+  void Lost(const std::shared_ptr<Line>& line) {
+    ++lost_;
+    Renew(line);
+  }
+  void Renew(const std::shared_ptr<Line>& line) {
+    line->socket = tcp::socket(io_);
+    line->buffer.consume(line->buffer.size());
+    line->socket.async_connect(at_, [this, line](error_code ec) {
+      if (!ec) idle_.push_back(line);
+    });
+  }
+
+  asio::io_context& io_;
+  const tcp::endpoint at_;
+  const std::string request_;
+  const double gap_;
+  const std::size_t total_;
+  asio::steady_timer timer_;
+  Clock::time_point begun_;
+  std::vector<std::shared_ptr<Line>> idle_;
+  std::size_t sent_ = 0, answered_ = 0, lost_ = 0;
+};
+
+struct Figures {
+  double share = 0, p50 = 0, p99 = 0;
+};
+
+std::string Pool(const std::string& id, const tcp::endpoint& host) {
+  return "[[pool]]\nid = \"" + id + "\"\nhost = [{ address = \"" + ToText(host) +
+         "\" }]\n[[route]]\nprefix = \"/" + id + "\"\npool = \"" + id + "\"\nclass = \"view\"\n";
+}
+
+// A process of its own, told by a pipe which ports it has; ended with this object.
+class Child {
+ public:
+  // `run` gives the ports to `tell` and does not return.
+  explicit Child(const std::function<void(const std::function<void(std::vector<unsigned short>)>&)>& run) {
+    int ends[2];
+    if (pipe(ends) != 0) std::abort();
+    pid_ = fork();
+    if (pid_ == 0) {
+      run([&](const std::vector<unsigned short>& ports) {
+        if (write(ends[1], ports.data(), ports.size() * sizeof(ports[0])) < 0) _exit(1);
+        close(ends[1]);
+      });
+      _exit(0);
+    }
+    close(ends[1]);
+    unsigned short port = 0;
+    while (read(ends[0], &port, sizeof port) == sizeof port) ports.push_back(port);
+    close(ends[0]);
+  }
+  ~Child() {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  Child(const Child&) = delete;
+  Child& operator=(const Child&) = delete;
+
+  std::vector<unsigned short> ports;
+
+ private:
+  pid_t pid_;
+};
+
+Figures Play(Broken how) {
+  const Child hosts([how](const auto& tell) {
+    asio::io_context io(1);
+    Peer one(io), two(io), three(io);
+    one.keep = two.keep = three.keep = false;
+    const unsigned short last = three.address().port();
+    Behave(one, Broken::kNot, "one");
+    Behave(two, Broken::kNot, "two");
+    Behave(three, how, "three");
+    tell({one.address().port(), two.address().port(), last});
+    io.run();
+  });
+  const Child gateways([&](const auto& tell) {
+    const std::string text =
+        "[process]\ndescriptors = 1000\n[[listener]]\nid = \"in\"\naddress = \"127.0.0.1:0\"\n[[class]]\nid "
+        "= \"view\"\n"
+        "effect = \"safe\"\naim = \"1s\"\ndeadline = \"2s\"\n" +
+        Pool("one", Loopback(hosts.ports[0])) + Pool("two", Loopback(hosts.ports[1])) +
+        Pool("three", Loopback(hosts.ports[2]));
+    const auto parsed = config::ParseServices(text, "bench", "");
+    if (!parsed.services) _exit(1);
+    if (std::freopen("/dev/null", "w", stderr) == nullptr) _exit(1);
+    asio::io_context io(1);
+    gateway::ServiceGateway gateway(io, parsed.services, 1);
+    tell({gateway.address("in").port()});
+    io.run();
+  });
+  const tcp::endpoint at = Loopback(gateways.ports.at(0));
+  const auto get = [](const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"; };
+  asio::io_context io(1);
+  std::optional<Load> third;
+  if (how != Broken::kNot)
+    third.emplace(io, at, kBrokenCallers, 100000000, [&](std::size_t) { return get("/three"); });
+  const auto total = static_cast<std::size_t>(kRate * kSeconds);
+  Steady first(io, at, get("/one"), kRate, total), second(io, at, get("/two"), kRate, total);
+  while (!first.Done() || !second.Done()) io.run_one_for(std::chrono::milliseconds(100));
+  return {std::min(first.Share(), second.Share()), std::max(first.Quantile(0.5), second.Quantile(0.5)),
+          std::max(first.Quantile(0.99), second.Quantile(0.99))};
+}
+
+double Median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
+
+int main(int argc, char** argv) {
+  using namespace opalswitch::testing;
+  const int rounds = argc > 1 ? std::atoi(argv[1]) : 5;
+  const std::pair<Broken, const char*> kinds[] = {{Broken::kHangs, "hangs"},
+                                                  {Broken::kRefuses, "refuses"},
+                                                  {Broken::kErrors, "500 at once"},
+                                                  {Broken::kEndless, "3 GB"}};
+  std::printf(
+      "two pools at %.0f requests a second each for %d s, beside a pool with %zu clients that ask without "
+      "pause;\n"
+      "worse of the two pools, median of %d rounds (least to most), alone and beside in turn\n",
+      kRate, kSeconds, kBrokenCallers, rounds);
+  for (const auto& [kind, name] : kinds) {
+    std::vector<double> ratio, alone99, beside99, lost;
+    for (int i = 0; i < rounds; ++i) {
+      const Figures alone = Play(Broken::kNot), beside = Play(kind);
+      alone99.push_back(alone.p99);
+      beside99.push_back(beside.p99);
+      ratio.push_back(beside.p99 / alone.p99 - 1);
+      lost.push_back(100 * (alone.share - beside.share));
+    }
+    const auto range = [](const std::vector<double>& v) {
+      return std::pair(*std::min_element(v.begin(), v.end()), *std::max_element(v.begin(), v.end()));
+    };
+    const auto [low, high] = range(ratio);
+    const auto [least, most] = range(lost);
+    std::printf(
+        "%-12s p99 %.2f ms alone, %.2f ms beside: %+.0f%% (%+.0f%% to %+.0f%%); served share lost %.2f "
+        "points "
+        "(%.2f to %.2f)\n",
+        name, Median(alone99), Median(beside99), 100 * Median(ratio), 100 * low, 100 * high, Median(lost),
+        least, most);
+    std::fflush(stdout);
+  }
+}
--- a/src/apps/forkwick.cpp
+++ b/src/apps/forkwick.cpp
@@ -1,5 +1,6 @@
-// forkwick: one gateway on real sockets. Runs in the foreground until SIGTERM; SIGHUP has it read its
-// configuration again.
+// forkwick: the gateway's command line. Without arguments it is the platform's gateway, told by NODE_*
+// variables; with them it runs, checks or explains an operators' file.
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -8,13 +9,47 @@
 #include <cstring>
 #include <exception>
 #include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
 
+#include "base/file_watch.hpp"
 #include "config/platform_config.hpp"
+#include "config/services.hpp"
 #include "gateway/gateway.hpp"
+#include "gateway/service_gateway.hpp"
+#include "routing/route_table.hpp"
+#include "routing/target.hpp"
 
 namespace {
 
 namespace gw = opalswitch::gateway;
+namespace config = opalswitch::config;
+namespace routing = opalswitch::routing;
+namespace asio = boost::asio;
+
+enum Exit { kDone = 0, kFailed = 1, kUsage = 2, kNoRoute = 3 };
+
+// Runs the loop until a signal ends it: SIGTERM and SIGINT by `stop`, which calls what it is given at the
+// end. SIGHUP calls `reload`.
+void RunLoop(asio::io_context& io, const std::function<void(std::function<void()>)>& stop,
+             const std::function<void()>& reload) {
+  asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
+  ends.async_wait([&](const boost::system::error_code& ec, int) {
+    if (!ec) stop([&] { io.stop(); });
+  });
+  std::function<void()> await_reload = [&] {
+    reloads.async_wait([&](const boost::system::error_code& ec, int) {
+      if (ec) return;
+      reload();
+      await_reload();
+    });
+  };
+  await_reload();
+  io.run();
+}
 
 const char* Variable(const char* name) { return std::getenv(name); }
 
@@ -23,36 +58,174 @@
   return std::strcmp(name, "NODE_DISCOVERY") == 0 ? nullptr : Variable(name);
 }
 
-void Reload(gw::Gateway& gateway) {
+int RunPlatform() {
+  asio::io_context io(1);
+  gw::Gateway gateway(io, gw::LoadConfig(Variable));
+  RunLoop(
+      io, [&](auto done) { gateway.Stop(std::move(done)); },
+      [&] {
+        try {
+          gateway.Reload(gw::LoadConfig(VariableAtReload));
+        } catch (const std::exception& error) {
+          std::fprintf(stderr, "forkwick: configuration not reloaded: %s\n", error.what());
+        }
+      });
+  return kDone;
+}
+
+void Print(const std::vector<config::Issue>& issues, std::FILE* to) {
+  for (const config::Issue& issue : issues) std::fprintf(to, "%s\n", issue.ToText().c_str());
+}
+
+int RunServices(const std::string& path) {
+  const auto first = config::LoadServices(path);
+  if (!first.services) return Print(first.issues, stderr), kFailed;
+  asio::io_context io(1);
+  std::random_device random;
+  gw::ServiceGateway gateway(io, first.services, (std::uint64_t{random()} << 32) | random());
+  std::unique_ptr<gw::FileWatch> watch;
+  std::function<void()> reload;
+  const auto follow = [&](const config::Services& services) {
+    if (services.watch == (watch != nullptr)) return;
+    watch = services.watch ? std::make_unique<gw::FileWatch>(io, path, [&] { reload(); }) : nullptr;
+  };
+  reload = [&] {
+    const auto next = config::LoadServices(path);
+    if (!next.services) {
+      std::fprintf(stderr, "forkwick: not reloaded, %zu faults in the file:\n", next.issues.size());
+      return Print(next.issues, stderr);
+    }
+    if (const auto error = gateway.Reload(next.services)) {
+      std::fprintf(stderr, "forkwick: not reloaded: %s\n", error->c_str());
+      return;
+    }
+    std::fprintf(stderr, "forkwick: reloaded %s\n", path.c_str());
+    // The watch may be what called this: it is changed from the loop.
+    asio::post(io, [&, services = next.services] { follow(*services); });
+  };
+  follow(*first.services);
+  for (const config::Listener& listener : first.services->listeners) {
+    const auto at = gateway.address(listener.id);
+    std::fprintf(stderr, "forkwick: listener %s at %s:%u\n", listener.id.c_str(),
+                 at.address().to_string().c_str(), at.port());
+  }
+  RunLoop(
+      io, [&](auto done) { gateway.Stop(std::move(done)); }, reload);
+  return kDone;
+}
+
+int Check(const std::string& path, bool json) {
+  const auto parsed = config::LoadServices(path);
+  if (json) {
+    nlohmann::json out = {
+        {"file", path}, {"valid", parsed.services != nullptr}, {"issues", nlohmann::json::array()}};
+    for (const config::Issue& issue : parsed.issues) {
+      out["issues"].push_back(
+          {{"line", issue.line}, {"column", issue.column}, {"field", issue.field}, {"text", issue.text}});
+    }
+    if (parsed.services) {
+      out["pools"] = parsed.services->pools.size();
+      out["routes"] = parsed.services->routes.size();
+    }
+    std::printf("%s\n", out.dump(2).c_str());
+  } else if (parsed.services) {
+    std::printf("%s: good: %zu listeners, %zu classes, %zu pools, %zu routes\n", path.c_str(),
+                parsed.services->listeners.size(), parsed.services->classes.size(),
+                parsed.services->pools.size(), parsed.services->routes.size());
+  } else {
+    Print(parsed.issues, stdout);
+  }
+  return parsed.services ? kDone : kFailed;
+}
+
+struct Asked {
+  std::string host, path = "/", method = "GET", class_name, listener;
+  std::vector<std::string> headers;
+};
+
+int Explain(const std::string& file, const Asked& asked) {
+  const auto parsed = config::LoadServices(file);
+  if (!parsed.services) return Print(parsed.issues, stderr), kFailed;
+  const config::Services& services = *parsed.services;
+  std::string error;
+  const auto target = routing::ReadTarget(asked.method, asked.path, error);
+  if (!target) return std::fprintf(stderr, "--path: %s\n", error.c_str()), kUsage;
+  const auto authority = routing::ReadAuthority(asked.host, error);
+  if (!authority) return std::fprintf(stderr, "--host: %s\n", error.c_str()), kUsage;
+  routing::Request request{authority->host, target->path, asked.method, asked.class_name, asked.listener};
+  for (const std::string& header : asked.headers) {
+    const std::size_t colon = header.find(':');
+    if (colon == std::string::npos)
+      return std::fprintf(stderr, "--header: found '%s', expected 'Name: value'\n", header.c_str()), kUsage;
+    const std::size_t value = header.find_first_not_of(' ', colon + 1);
+    request.headers.push_back(
+        {std::string_view(header).substr(0, colon),
+         value == std::string::npos ? std::string_view() : std::string_view(header).substr(value)});
+  }
+  const auto match = services.table.Match(request);
+  const auto reasons = services.table.Explain(request);
+  for (std::size_t i = 0; i < reasons.size(); ++i) {
+    std::printf("  not %s: %s\n", services.routes[i].match.id.c_str(), reasons[i].c_str());
+  }
+  for (const std::string& reading : routing::HostReadings(target->path)) {
+    routing::Request other = request;
+    other.path = reading;
+    if (services.table.Match(other) == match) continue;
+    std::printf("refused with 400: a host may take the path for %s, which goes elsewhere\n", reading.c_str());
+    return kNoRoute;
+  }
+  if (!match) return std::printf("no route: 404\n"), kNoRoute;
+  const config::RouteRule& rule = services.routes[*match];
+  std::printf("route %s: pool %s, class %s, path %s\n", rule.match.id.c_str(),
+              services.pools[rule.pool].id.c_str(),
+              rule.class_index < 0
+                  ? "as the client states it"
+                  : services.classes[static_cast<std::size_t>(rule.class_index)].settings.name.c_str(),
+              target->path.c_str());
+  return kDone;
+}
+
+int Main(int argc, char** argv) {
+  if (argc <= 1) return RunPlatform();
+  CLI::App app(
+      "A gateway for HTTP services. Without arguments: the platform's gateway, told by NODE_* variables.",
+      "forkwick");
+  app.require_subcommand(1);
+  std::string file;
+  bool json = false;
+  Asked asked;
+  auto* const run = app.add_subcommand("run", "run the services of a file until SIGTERM; SIGHUP reloads it");
+  run->add_option("--config", file, "the operators' file")->required();
+  auto* const check =
+      app.add_subcommand("check", "tell all that is wrong with a file: exit code 0 if nothing, else 1");
+  check->add_option("file", file, "the operators' file")->required();
+  check->add_flag("--json", json, "for programs");
+  auto* const route = app.add_subcommand(
+      "route", "tell which route a request takes, and why the earlier ones do not: exit code 3 if none does");
+  route->add_option("file", file, "the operators' file")->required();
+  route->add_option("--host", asked.host, "its Host");
+  route->add_option("--path", asked.path, "its path, or its whole target");
+  route->add_option("--method", asked.method, "its method");
+  route->add_option("--class", asked.class_name, "the class that it states");
+  route->add_option("--listener", asked.listener, "the listener that it comes in by");
+  route->add_option("--header", asked.headers, "a header of it, as 'Name: value'; may be repeated");
   try {
-    gateway.Reload(gw::LoadConfig(VariableAtReload));
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "forkwick: configuration not reloaded: %s\n", error.what());
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kDone : kUsage;
   }
+  if (run->parsed()) return RunServices(file);
+  if (check->parsed()) return Check(file, json);
+  return Explain(file, asked);
 }
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
   try {
-    boost::asio::io_context io(1);
-    boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-    gw::Gateway gateway(io, gw::LoadConfig(Variable));
-    ends.async_wait([&](const boost::system::error_code& ec, int) {
-      if (!ec) gateway.Stop([&] { io.stop(); });
-    });
-    std::function<void()> await_reload = [&] {
-      reloads.async_wait([&](const boost::system::error_code& ec, int) {
-        if (ec) return;
-        Reload(gateway);
-        await_reload();
-      });
-    };
-    await_reload();
-    io.run();
-    return 0;
+    return Main(argc, argv);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "forkwick: %s\n", error.what());
-    return 1;
+    return kFailed;
   }
 }
--- a/src/base/endpoint.cpp
+++ b/src/base/endpoint.cpp
@@ -13,7 +13,9 @@
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return std::nullopt;
   error_code ec;
-  const auto address = asio::ip::make_address(text.substr(0, colon), ec);
+  const bool bracketed = colon > 2 && text[0] == '[' && text[colon - 1] == ']';
+  const auto address =
+      asio::ip::make_address(bracketed ? text.substr(1, colon - 2) : text.substr(0, colon), ec);
   std::uint16_t port = 0;
   const char* const last = text.data() + text.size();
   const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
--- a/src/base/endpoint.hpp
+++ b/src/base/endpoint.hpp
@@ -8,7 +8,7 @@
 
 namespace opalswitch::gateway {
 
-// "10.1.0.18:3000"; nothing if it is anything else.
+// "10.1.0.18:3000" or "[::1]:3000"; nothing if it is anything else.
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text);
 
 }  // namespace opalswitch::gateway
--- a/src/base/http_types.hpp
+++ b/src/base/http_types.hpp
@@ -4,8 +4,10 @@
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
+#include <string>
 
 namespace opalswitch::gateway {
 
@@ -15,10 +17,21 @@
 constexpr std::uint64_t kMostBody = 64 * 1024;
 constexpr std::uint32_t kMostHeader = 16 * 1024;
 
-// Takes out what concerns one connection alone, and so must not be passed on. Framing is set anew.
+// Takes out what concerns one connection alone, and so must not be passed on. Framing is set anew. RFC
+// 9110 7.6.1: that is also whatever Connection names, but for what other parts of the message are understood
+// by.
 template <typename Message>
 void StripHopByHop(Message& message) {
+  using boost::beast::iequals;
   using boost::beast::http::field;
+  if (message.count(field::connection) > 0) {
+    const std::string named(message[field::connection]);
+    for (const auto name : boost::beast::http::token_list(named)) {
+      const bool kept = iequals(name, "Host") || iequals(name, "Content-Length") || iequals(name, "Req-Id") ||
+                        iequals(name, "Idempotency-Key") || iequals(name, "Srv-Load");
+      if (!kept) message.erase(name);
+    }
+  }
   for (const field name : {field::connection, field::keep_alive, field::proxy_connection, field::te,
                            field::trailer, field::transfer_encoding, field::upgrade, field::expect}) {
     message.erase(name);
@@ -35,6 +48,10 @@
   const auto lengths = head.count(field::content_length);
   const auto codings = head.count(field::transfer_encoding);
   if (lengths + codings == 0) return Framing::kNone;
+  // "5, 5" is a length to some, and none to others.
+  for (const char c : head[field::content_length]) {
+    if (c < '0' || c > '9') return Framing::kAmbiguous;
+  }
   const bool plain = codings == 0 || boost::beast::iequals(head[field::transfer_encoding], "chunked");
   return lengths + codings == 1 && plain ? Framing::kDelimited : Framing::kAmbiguous;
 }
--- /dev/null
+++ b/src/config/toml_fields.cpp
@@ -0,0 +1,245 @@
+#include "config/toml_fields.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <sstream>
+
+#include "base/endpoint.hpp"
+#include "config/units.hpp"
+
+namespace opalswitch::config {
+namespace {
+
+// Changes that turn one word into the other (Levenshtein).
+std::size_t Distance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t corner = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t above = row[j];
+      row[j] = std::min({above + 1, row[j - 1] + 1, corner + (a[i - 1] != b[j - 1])});
+      corner = above;
+    }
+  }
+  return row[b.size()];
+}
+
+std::string Short(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%g", value);
+  return text;
+}
+
+}  // namespace
+
+std::string Shown(const toml::node& node) {
+  std::ostringstream out;
+  if (const auto* const written = node.as_string()) {
+    out << '"' << written->get() << '"';
+  } else {
+    node.visit([&](const auto& value) { out << value; });
+  }
+  std::string text = out.str();
+  std::replace(text.begin(), text.end(), '\n', ' ');
+  if (text.size() > 60) text = text.substr(0, 57) + "...";
+  return text;
+}
+
+Fields::Fields(const toml::table& table, std::string path, Issues& issues)
+    : table_(table), path_(std::move(path)), issues_(issues) {}
+
+Fields::~Fields() {
+  for (const auto& [key, node] : table_) {
+    const std::string_view name = key.str();
+    if (known_.contains(name)) continue;
+    std::string best;
+    for (const std::string& known : known_) {
+      const std::size_t distance = Distance(name, known);
+      if (distance <= std::max<std::size_t>(1, known.size() / 3) &&
+          (best.empty() || distance < Distance(name, best))) {
+        best = known;
+      }
+    }
+    std::string text = "unknown key";
+    if (!best.empty()) {
+      text += "; did you mean '" + best + "'?";
+    } else {
+      text += "; expected one of";
+      for (const std::string& known : known_) text += " " + known;
+    }
+    issues_.Add(key.source(), PathOf(name), text);
+  }
+}
+
+std::string Fields::PathOf(std::string_view key) const {
+  return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
+}
+
+const toml::node* Fields::Get(std::string_view key) {
+  known_.emplace(key);
+  return table_.get(key);
+}
+
+void Fields::Wrong(std::string_view key, const std::string& expected) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return Missing(key, expected);
+  issues_.Add(node->source(), PathOf(key), "found " + Shown(*node) + ", expected " + expected);
+}
+
+void Fields::Say(std::string_view key, const std::string& text) {
+  const toml::node* const node = Get(key);
+  issues_.Add(node == nullptr ? table_.source() : node->source(), PathOf(key), text);
+}
+
+void Fields::Missing(std::string_view key, const std::string& expected) {
+  known_.emplace(key);
+  issues_.Add(table_.source(), PathOf(key), "missing, expected " + expected);
+}
+
+std::optional<std::string> Fields::Text(std::string_view key) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return std::nullopt;
+  const auto* const text = node->as_string();
+  if (text == nullptr) return Wrong(key, "a text in quotes"), std::nullopt;
+  return text->get();
+}
+
+std::optional<std::string> Fields::Name(std::string_view key) {
+  auto text = Text(key);
+  if (!text) return std::nullopt;
+  const bool good =
+      !text->empty() && text->size() <= 64 && std::all_of(text->begin(), text->end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
+               c == '_' || c == '-';
+      });
+  if (!good) return Wrong(key, "a name of up to 64 letters, digits, '.', '_' or '-'"), std::nullopt;
+  return text;
+}
+
+std::optional<double> Fields::Number(std::string_view key, double least, double most) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return std::nullopt;
+  std::optional<double> value;
+  if (const auto* const whole = node->as_integer()) value = static_cast<double>(whole->get());
+  if (const auto* const real = node->as_floating_point()) value = real->get();
+  if (!value || !std::isfinite(*value) || *value < least || *value > most) {
+    return Wrong(key, "a number from " + Short(least) + " to " + Short(most)), std::nullopt;
+  }
+  return value;
+}
+
+std::optional<std::int64_t> Fields::Whole(std::string_view key, std::int64_t least, std::int64_t most) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return std::nullopt;
+  const auto* const whole = node->as_integer();
+  if (whole == nullptr || whole->get() < least || whole->get() > most) {
+    return Wrong(key, "a whole number from " + std::to_string(least) + " to " + std::to_string(most)),
+           std::nullopt;
+  }
+  return whole->get();
+}
+
+std::optional<bool> Fields::Flag(std::string_view key) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return std::nullopt;
+  const auto* const flag = node->as_boolean();
+  if (flag == nullptr) return Wrong(key, "true or false"), std::nullopt;
+  return flag->get();
+}
+
+std::optional<Millis> Fields::Duration(std::string_view key, bool zero) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return std::nullopt;
+  const auto* const text = node->as_string();
+  const auto value = text == nullptr ? std::nullopt : ParseDuration(text->get());
+  if (!value || (*value <= 0 && !zero) || *value > 24 * 3600000.0) {
+    return Wrong(key, std::string("a time with its unit, such as \"250ms\" or \"1.5s\", ") +
+                          (zero ? "up to a day" : "above 0 and up to a day")),
+           std::nullopt;
+  }
+  return value;
+}
+
+std::optional<std::uint64_t> Fields::Size(std::string_view key) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return std::nullopt;
+  const auto* const text = node->as_string();
+  const auto value = text == nullptr ? std::nullopt : ParseSize(text->get());
+  if (!value || *value == 0)
+    return Wrong(key, "a size with its unit, such as \"64KiB\" or \"128MiB\""), std::nullopt;
+  return value;
+}
+
+std::optional<boost::asio::ip::tcp::endpoint> Fields::Address(std::string_view key) {
+  const auto text = Text(key);
+  if (!text) return std::nullopt;
+  const auto address = gateway::ParseEndpoint(*text);
+  if (!address)
+    return Wrong(key, "an IP address and port, such as \"127.0.0.1:8080\" or \"[::1]:8080\""), std::nullopt;
+  return address;
+}
+
+std::optional<std::size_t> Fields::Choice(std::string_view key,
+                                          const std::vector<std::string_view>& choices) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return std::nullopt;
+  if (const auto* const text = node->as_string()) {
+    const auto found = std::find(choices.begin(), choices.end(), std::string_view(text->get()));
+    if (found != choices.end()) return static_cast<std::size_t>(found - choices.begin());
+  }
+  std::string expected;
+  for (std::size_t i = 0; i < choices.size(); ++i) {
+    expected += (i == 0                    ? ""
+                 : i + 1 == choices.size() ? " or "
+                                           : ", ") +
+                ("\"" + std::string(choices[i]) + "\"");
+  }
+  return Wrong(key, expected), std::nullopt;
+}
+
+std::vector<std::string> Fields::Texts(std::string_view key) {
+  const toml::node* const node = Get(key);
+  std::vector<std::string> texts;
+  if (node == nullptr) return texts;
+  if (const auto* const text = node->as_string()) return {text->get()};
+  const auto* const array = node->as_array();
+  const bool good =
+      array != nullptr && !array->empty() &&
+      std::all_of(array->begin(), array->end(), [](const toml::node& item) { return item.is_string(); });
+  if (!good) return Wrong(key, "a text or a list of texts, not empty"), texts;
+  for (const toml::node& item : *array) texts.push_back(item.as_string()->get());
+  return texts;
+}
+
+const toml::table* Fields::Table(std::string_view key) {
+  const toml::node* const node = Get(key);
+  if (node == nullptr) return nullptr;
+  if (!node->is_table()) Wrong(key, "a table, as [" + PathOf(key) + "] begins one");
+  return node->as_table();
+}
+
+std::vector<const toml::table*> Fields::Tables(std::string_view key) {
+  const toml::node* const node = Get(key);
+  std::vector<const toml::table*> tables;
+  if (node == nullptr) return tables;
+  const auto* const array = node->as_array();
+  const bool good = array != nullptr && std::all_of(array->begin(), array->end(),
+                                                    [](const toml::node& item) { return item.is_table(); });
+  if (!good) return Wrong(key, "tables, as [[" + PathOf(key) + "]] begins one"), tables;
+  for (const toml::node& item : *array) tables.push_back(item.as_table());
+  return tables;
+}
+
+std::vector<std::string> Fields::Keys() {
+  std::vector<std::string> keys;
+  for (const auto& [key, node] : table_) {
+    keys.emplace_back(key.str());
+    known_.emplace(key.str());
+  }
+  return keys;
+}
+
+}  // namespace opalswitch::config
--- /dev/null
+++ b/src/config/toml_fields.hpp
@@ -0,0 +1,88 @@
+// Reads the fields of TOML tables, and notes all that is wrong with them: unknown keys, wrong types, values
+// without their unit. One Fields a table; whoever reads on gets defaults, so that one run finds every fault.
+#ifndef OPALSWITCH_CONFIG_TOML_FIELDS_HPP_
+#define OPALSWITCH_CONFIG_TOML_FIELDS_HPP_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#define TOML_HEADER_ONLY 1
+#define TOML_EXCEPTIONS 0
+#include <toml++/toml.h>
+
+#include "config/services.hpp"
+
+namespace opalswitch::config {
+
+// Where all issues of one file go.
+struct Issues {
+  std::string file;
+  std::vector<Issue> list;
+
+  void Add(const toml::source_region& at, std::string field, std::string text) {
+    list.push_back({file, at.begin.line, at.begin.column, std::move(field), std::move(text)});
+  }
+};
+
+class Fields {
+ public:
+  // `path` names the table in issues. Unknown keys are told when the Fields ends.
+  Fields(const toml::table& table, std::string path, Issues& issues);
+  ~Fields();
+  Fields(const Fields&) = delete;
+  Fields& operator=(const Fields&) = delete;
+
+  bool Has(std::string_view key) const { return table_.contains(key); }
+
+  // Each reads one field. Absent: nothing, without an issue. Wrong: nothing, with one.
+  std::optional<std::string> Text(std::string_view key);
+  std::optional<std::string> Name(std::string_view key);  // letters, digits, '.', '_', '-'; 64 at most
+  std::optional<double> Number(std::string_view key, double least, double most);
+  std::optional<std::int64_t> Whole(std::string_view key, std::int64_t least, std::int64_t most);
+  std::optional<bool> Flag(std::string_view key);
+  std::optional<Millis> Duration(std::string_view key, bool zero = false);
+  std::optional<std::uint64_t> Size(std::string_view key);
+  std::optional<boost::asio::ip::tcp::endpoint> Address(std::string_view key);
+  // The place of the text in `choices`.
+  std::optional<std::size_t> Choice(std::string_view key, const std::vector<std::string_view>& choices);
+  // One text or a list of them.
+  std::vector<std::string> Texts(std::string_view key);
+  const toml::table* Table(std::string_view key);
+  std::vector<const toml::table*> Tables(std::string_view key);  // [[key]]
+
+  // The same, but absent is an issue.
+  template <typename T>
+  T Need(std::string_view key, std::optional<T> value, const char* expected) {
+    if (!value && !Has(key)) Missing(key, expected);
+    return value.value_or(T{});
+  }
+
+  // An issue at a field, or at the table if the field is not there.
+  void Wrong(std::string_view key, const std::string& expected);
+  void Say(std::string_view key, const std::string& text);
+  void Missing(std::string_view key, const std::string& expected);
+
+  // All keys of the table, for tables whose keys are names.
+  std::vector<std::string> Keys();
+  std::string PathOf(std::string_view key) const;
+  const toml::source_region& at() const { return table_.source(); }
+
+ private:
+  const toml::node* Get(std::string_view key);
+
+  const toml::table& table_;
+  const std::string path_;
+  Issues& issues_;
+  std::set<std::string, std::less<>> known_;
+};
+
+// The text of a value as the file has it, shortened, for messages.
+std::string Shown(const toml::node& node);
+
+}  // namespace opalswitch::config
+
+#endif  // OPALSWITCH_CONFIG_TOML_FIELDS_HPP_
--- /dev/null
+++ b/src/gateway/call.hpp
@@ -0,0 +1,45 @@
+// A client's request on its way from a front end into the core.
+#ifndef OPALSWITCH_GATEWAY_CALL_HPP_
+#define OPALSWITCH_GATEWAY_CALL_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/http_types.hpp"
+#include "limits/pacer.hpp"
+#include "opalswitch/policy.hpp"
+
+namespace opalswitch::gateway {
+
+class Pool;
+
+// Why a request is answered by the front end itself.
+struct Fault {
+  boost::beast::http::status status;
+  std::string text;              // one line
+  Millis retry_after = 0;        // of a refusal: 0 = no advice
+  std::string allow = {};        // of a 405: the methods that would do
+  bool keep_connection = false;  // the request was well-formed: what follows it can be read
+};
+
+struct Call {
+  HttpRequest http;
+  std::string id, class_name, tenant, key;
+  std::string client;                        // its address; empty if nobody is to be told
+  bool retry = false;                        // the client's own further try
+  Millis received = 0;                       // when its last byte was read
+  Millis allowed = 0;                        // how long the client waits, from when it sent it
+  std::uint64_t most_body = kMostBody;       // bytes of body that its pool takes
+  std::function<void(HttpResponse)> answer;  // to be called once; what follows is dropped
+  std::shared_ptr<Pool> pool;                // which is to serve it
+  // Asks for room for a body of so many bytes, once, before it is read; null if it is never refused.
+  std::function<bool(std::uint64_t)> reserve;
+  std::shared_ptr<limits::Pacer> pacer;  // of who is turned away; null = nobody is paced
+  std::shared_ptr<void> hold;            // what it uses of its pool's limits; given back when it is answered
+};
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_GATEWAY_CALL_HPP_
--- /dev/null
+++ b/src/gateway/service_gateway.cpp
@@ -0,0 +1,480 @@
+#include "gateway/service_gateway.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <cstdio>
+#include <map>
+#include <stdexcept>
+#include <utility>
+
+#include "base/clock.hpp"
+#include "config/units.hpp"
+#include "gateway/descriptors.hpp"
+#include "http/platform_call.hpp"
+#include "routing/route_table.hpp"
+
+namespace opalswitch::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr double kPlacesPart =
+    0.9;  // of the clients' places: requests under way; the rest is for those that come
+constexpr double kSharedPart =
+    0.5;  // of a budget: what no pool has asked for is guaranteed to them in equal parts
+constexpr Millis kMostPause = 1000;  // of a connection that was turned away
+constexpr Millis kBusyRetry = 1000;  // advice where a budget that pools share is used up
+
+std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+void Say(const std::string& text) { std::fprintf(stderr, "forkwick: %s\n", text.c_str()); }
+
+// Idle connections are closed for want of places alone: no front counts them here, as the platform's does.
+ClientLimits LimitsOf(const config::Services& services) {
+  ClientLimits limits = LimitsFor(services.descriptors, static_cast<double>(services.memory) / (1 << 20));
+  limits.usual = limits.sessions;
+  return limits;
+}
+
+std::string Joined(const std::vector<std::string>& items) {
+  std::string text;
+  for (const std::string& item : items) text += (text.empty() ? "" : ", ") + item;
+  return text;
+}
+
+// "480m" and "480000u" as the platform writes it, or a time with its unit.
+std::optional<Millis> ReadDeadline(std::string_view text) {
+  if (const auto platform = ParseDeadline(text)) return platform;
+  return config::ParseDuration(text);
+}
+
+}  // namespace
+
+// A pool that runs: made from one file, and kept by later ones that define it alike.
+struct ServiceGateway::Member {
+  explicit Member(const config::Pool& from)
+      : id(from.id),
+        definition(from.definition),
+        gate(from.gate),
+        pacer(std::make_shared<limits::Pacer>(from.reread_per_s, kMostPause)) {}
+
+  const std::string id;
+  const std::string definition;
+  NodeRegistry::PoolId number = 0;
+  limits::PoolGate gate;
+  const std::shared_ptr<limits::Pacer> pacer;
+  limits::SharedBudget::Party descriptors = 0, places = 0, bodies = 0;
+  std::shared_ptr<Pool> pool;
+  std::unique_ptr<Source> source;
+  StaticSource* fixed = nullptr;  // the source, if the file itself lists the hosts
+  bool retired = false;
+};
+
+// What one request uses of its pool's limits, from its admission to its answer.
+struct ServiceGateway::Ticket {
+  Ticket(ServiceGateway& owner, std::shared_ptr<Member> of)
+      : gateway(owner), alive(owner.alive_), member(std::move(of)) {}
+  ~Ticket() {
+    if (alive.expired()) return;
+    member->gate.Leave();
+    gateway.places_.Give(member->places);
+    if (body > 0) gateway.bodies_.Give(member->bodies, body);
+    if (member->retired) gateway.Sweep();
+  }
+  Ticket(const Ticket&) = delete;
+  Ticket& operator=(const Ticket&) = delete;
+
+  ServiceGateway& gateway;
+  const std::weak_ptr<int> alive;
+  const std::shared_ptr<Member> member;
+  std::uint64_t body = 0;
+};
+
+ServiceGateway::ServiceGateway(asio::io_context& io, Services services, std::uint64_t seed)
+    : io_(io),
+      seed_(seed),
+      descriptors_(HostSockets(services->descriptors)),
+      places_(0),
+      bodies_(0),
+      clients_(io, LimitsOf(*services),
+               {[this] {
+                  const auto listed = [](const auto& member) { return member->pool->listed(); };
+                  return snapshot_ && !stop_.begun() &&
+                         std::any_of(snapshot_->members.begin(), snapshot_->members.end(), listed);
+                },
+                [this](const HttpRequest& head, const routing::Target& target, const Origin& origin,
+                       Call& call) { return Admit(head, target, origin, call); }},
+               services->health_path),
+      stop_(io, clients_, [this] {
+        for (const auto& member : snapshot_->members) member->pool->FailRest();
+        for (const auto& member : retiring_) member->pool->FailRest();
+      }) {
+  const ClientLimits limits =
+      LimitsFor(services->descriptors, static_cast<double>(services->memory) / (1 << 20));
+  places_.Resize(std::max<std::uint64_t>(
+      1, static_cast<std::uint64_t>(static_cast<double>(limits.sessions) * kPlacesPart)));
+  bodies_.Resize(limits.body_bytes);
+  snapshot_ = std::make_shared<Snapshot>();
+  if (const auto error = Reload(std::move(services))) throw std::runtime_error(*error);
+}
+
+ServiceGateway::~ServiceGateway() = default;
+
+std::shared_ptr<ServiceGateway::Member> ServiceGateway::MakeMember(const config::Pool& from) {
+  auto member = std::make_shared<Member>(from);
+  member->number = ++made_;
+  const auto most = [](const config::Portion& portion) {
+    return portion.most > 0 ? portion.most : limits::SharedBudget::kNoMost;
+  };
+  // Guarantees follow once the new file holds.
+  member->descriptors = descriptors_.Join(0, most(from.descriptors));
+  member->places = places_.Join(0, most(from.clients));
+  member->bodies = bodies_.Join(0, most(from.body_memory));
+  Settings settings = from.settings;
+  const auto all = std::min<std::uint64_t>(descriptors_.total(), most(from.descriptors));
+  const auto wanted = static_cast<std::uint64_t>(settings.most_out);
+  settings.most_out = static_cast<int>(wanted > 0 ? std::min(wanted, all) : all);
+  HostPool::Limits upstream;
+  upstream.dial_timeout = from.dial_timeout;
+  upstream.idle_timeout = from.idle_timeout;
+  upstream.connections = static_cast<std::size_t>(all);
+  upstream.answer_body = from.answer_body;
+  upstream.plain = from.answers == config::Answers::kPlain;
+  upstream.take_socket = [this, party = member->descriptors] { return descriptors_.Take(party); };
+  upstream.give_socket = [this, party = member->descriptors, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) descriptors_.Give(party);
+  };
+  try {
+    member->pool = std::make_shared<Pool>(
+        io_, Pool::Options{from.id, std::move(settings), seed_ ^ (0x9e3779b97f4a7c15ULL * made_),
+                           std::move(upstream), from.answers == config::Answers::kPlain, nullptr});
+  } catch (const std::exception& error) {
+    descriptors_.Leave(member->descriptors);
+    places_.Leave(member->places);
+    bodies_.Leave(member->bodies);
+    throw std::runtime_error("pool " + from.id + ": " + error.what());
+  }
+  return member;
+}
+
+// Has the pool told of its hosts, from now on.
+void ServiceGateway::Begin(Member& member, const config::Pool& from) {
+  Member* const to = &member;  // it outlives its source, which it holds
+  Source::Handlers handlers{[this, to](const HostList& list) { Told(*to, list); },
+                            [to] { to->pool->ListFailed(); },
+                            [to](const std::string& text) { Say("pool " + to->id + ": " + text); }};
+  const config::Membership& m = from.membership;
+  switch (m.source) {
+    case config::Membership::Source::kStatic: {
+      auto fixed = std::make_unique<StaticSource>(m.hosts, std::move(handlers));
+      member.fixed = fixed.get();
+      member.source = std::move(fixed);
+      break;
+    }
+    case config::Membership::Source::kFile:
+      member.source = std::make_unique<FileSource>(io_, m.file, std::move(handlers));
+      break;
+    case config::Membership::Source::kDiscovery:
+      member.source = std::make_unique<DiscoverySource>(io_, m.discovery, std::move(handlers));
+      break;
+  }
+  member.source->Start();
+}
+
+// Deals out the budgets anew: what pools ask for is theirs; of what is left, half goes to the others in equal
+// parts, and the rest to whoever needs it.
+void ServiceGateway::Share(const Snapshot& snapshot) {
+  const auto deal = [&](limits::SharedBudget& budget, config::Portion config::Pool::*portion,
+                        limits::SharedBudget::Party Member::*party) {
+    const auto& pools = snapshot.services->pools;
+    std::uint64_t asked = 0, silent = 0;
+    for (const config::Pool& pool : pools) {
+      asked += (pool.*portion).guaranteed;
+      silent += (pool.*portion).guaranteed == 0;
+    }
+    const auto half = static_cast<std::uint64_t>(static_cast<double>(budget.total()) * kSharedPart);
+    const std::uint64_t each = silent > 0 && half > asked ? (half - asked) / silent : 0;
+    for (std::size_t i = 0; i < pools.size(); ++i) {
+      const config::Portion& p = pools[i].*portion;
+      budget.Change(*snapshot.members[i].*party, p.guaranteed > 0 ? p.guaranteed : each,
+                    p.most > 0 ? p.most : limits::SharedBudget::kNoMost);
+    }
+  };
+  deal(descriptors_, &config::Pool::descriptors, &Member::descriptors);
+  deal(places_, &config::Pool::clients, &Member::places);
+  deal(bodies_, &config::Pool::body_memory, &Member::bodies);
+}
+
+std::optional<std::string> ServiceGateway::Reload(Services services) {
+  auto next = std::make_shared<Snapshot>();
+  next->services = services;
+  std::map<std::string, std::shared_ptr<Member>> running;
+  for (const auto& member : snapshot_->members) running[member->id] = member;
+  std::vector<std::pair<std::shared_ptr<Member>, const config::Pool*>> made;
+  std::vector<config::Listener> opened;
+  const auto undo = [&] {
+    for (const auto& [member, pool] : made) {
+      descriptors_.Leave(member->descriptors);
+      places_.Leave(member->places);
+      bodies_.Leave(member->bodies);
+    }
+    for (const config::Listener& listener : opened) clients_.Unlisten(listener.id, listener.address);
+  };
+  try {
+    for (const config::Pool& pool : services->pools) {
+      const auto found = running.find(pool.id);
+      if (found != running.end() && found->second->definition == pool.definition) {
+        next->members.push_back(found->second);
+        continue;
+      }
+      next->members.push_back(MakeMember(pool));
+      made.push_back({next->members.back(), &pool});
+    }
+    for (const config::Listener& listener : services->listeners) {
+      const auto& old =
+          snapshot_->services ? snapshot_->services->listeners : std::vector<config::Listener>{};
+      if (std::find(old.begin(), old.end(), listener) != old.end()) continue;
+      try {
+        clients_.Listen(listener.id, listener.address);
+      } catch (const std::exception& error) {
+        throw std::runtime_error("listener " + listener.id + ": " + error.what());
+      }
+      opened.push_back(listener);
+    }
+  } catch (const std::exception& error) {
+    undo();
+    return error.what();
+  }
+  // Nothing can fail from here on.
+  const auto before = std::exchange(snapshot_, next);
+  Share(*next);
+  for (std::size_t i = 0; i < next->members.size(); ++i) {
+    Member& member = *next->members[i];
+    if (member.fixed != nullptr) member.fixed->Change(services->pools[i].membership.hosts);
+  }
+  for (const auto& [member, pool] : made) {
+    // A discovery service takes a moment to answer: until then the hosts are those that the old pool knew.
+    const auto found = running.find(member->id);
+    if (found != running.end() && pool->membership.source == config::Membership::Source::kDiscovery) {
+      const HostList known = nodes_.ViewOf(found->second->number);
+      if (!known.hosts.empty()) Told(*member, known);
+    }
+    Begin(*member, *pool);
+  }
+  if (before->services) {
+    for (const config::Listener& listener : before->services->listeners) {
+      const auto& now = services->listeners;
+      if (std::find(now.begin(), now.end(), listener) == now.end())
+        clients_.Unlisten(listener.id, listener.address);
+    }
+    if (before->services->descriptors != services->descriptors ||
+        before->services->memory != services->memory ||
+        before->services->health_path != services->health_path) {
+      Say("process.descriptors, process.memory and process.health_path count from the next start");
+    }
+  }
+  for (const auto& member : before->members) {
+    if (std::find(next->members.begin(), next->members.end(), member) == next->members.end()) Retire(member);
+  }
+  return std::nullopt;
+}
+
+void ServiceGateway::Told(Member& member, const HostList& list) {
+  const auto known = nodes_.drains();
+  const auto news = nodes_.Told(member.number, list, Now());
+  const auto give = [&](const std::shared_ptr<Member>& to, const HostList& told) { to->pool->Told(told); };
+  for (const NodeRegistry::News& item : news) {
+    if (item.pool == member.number) {
+      member.pool->Told(item.list);
+      continue;
+    }
+    for (const auto& other : snapshot_->members) {
+      if (other->number == item.pool) give(other, item.list);
+    }
+    for (const auto& other : retiring_) {
+      if (other->number == item.pool) give(other, item.list);
+    }
+  }
+  for (const auto& [id, drain] : nodes_.drains()) {
+    if (known.contains(id)) continue;
+    char at[32];
+    std::snprintf(at, sizeof at, "%.0f", drain.since);
+    Say("node " + id + " drains since " + at + " (Unix ms), told by pool " + member.id + ", kept by " +
+        std::to_string(nodes_.PoolsOf(id).size()) + " pools");
+  }
+}
+
+// A pool that no file names any more takes nothing new, ends what it has, and follows its hosts until then.
+void ServiceGateway::Retire(const std::shared_ptr<Member>& member) {
+  member->retired = true;
+  retiring_.push_back(member);
+  descriptors_.Change(member->descriptors, 0);
+  places_.Change(member->places, 0);
+  bodies_.Change(member->bodies, 0);
+  member->pool->WhenIdle([this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) Sweep();
+  });
+}
+
+// Lets go of retired pools that have nothing left; from the loop, for the caller may be one of them.
+void ServiceGateway::Sweep() {
+  if (std::exchange(sweeping_, true)) return;
+  asio::post(io_, [this, alive = std::weak_ptr(alive_)] {
+    if (alive.expired()) return;
+    sweeping_ = false;
+    retiring_.remove_if([this](const std::shared_ptr<Member>& member) {
+      if (member->pool->open() > 0 || member->gate.held() > 0) return false;
+      nodes_.Forget(member->number);
+      descriptors_.Leave(member->descriptors);
+      places_.Leave(member->places);
+      bodies_.Leave(member->bodies);
+      return true;
+    });
+  });
+}
+
+std::optional<Fault> ServiceGateway::Admit(const HttpRequest& head, const routing::Target& target,
+                                           const Origin& origin, Call& call) {
+  const auto fault = [](http::status status, std::string text) {
+    Fault f{status, std::move(text)};
+    f.keep_connection = true;
+    return f;
+  };
+  const auto snapshot = snapshot_;
+  const config::Services& services = *snapshot->services;
+  const config::RequestHeaders& names = services.headers;
+  // Of two fields with one name, this gateway and a host might each believe another.
+  for (const std::string* const name :
+       {&names.id, &names.class_name, &names.tenant, &names.key, &names.deadline, &names.retry}) {
+    if (!name->empty() && head.count(*name) > 1)
+      return fault(http::status::bad_request, *name + " is repeated");
+  }
+  if (head.count("Idempotency-Key") > 1)
+    return fault(http::status::bad_request, "Idempotency-Key is repeated");
+  routing::Request request{target.authority.host, target.path, View(head.method_string()),
+                           names.class_name.empty() ? std::string_view() : View(head[names.class_name]),
+                           origin.listener};
+  for (const std::string& name : services.table.header_names()) {
+    const auto count = head.count(name);
+    if (count > 1) return fault(http::status::bad_request, name + " is repeated");
+    if (count == 1) request.headers.push_back({name, View(head[name])});
+  }
+  const auto match = services.table.Match(request);
+  for (const std::string& reading : routing::HostReadings(target.path)) {
+    routing::Request other = request;
+    other.path = reading;
+    if (services.table.Match(other) != match) {
+      return fault(http::status::bad_request, "the path would be another one once a host has decoded it");
+    }
+  }
+  if (!match) return fault(http::status::not_found, "no route");
+  const config::RouteRule& rule = services.routes[*match];
+  const std::shared_ptr<Member>& member = snapshot->members[rule.pool];
+  call.client = origin.client.is_unspecified() ? "" : origin.client.to_string();
+  call.pacer = member->pacer;
+  if (auto wrong = Describe(head, rule, services.pools[rule.pool], call)) return wrong;
+  return Enter(member, call);
+}
+
+// What class the request is of, and what it tells of itself.
+std::optional<Fault> ServiceGateway::Describe(const HttpRequest& head, const config::RouteRule& rule,
+                                              const config::Pool& pool, Call& call) {
+  const auto fault = [](http::status status, std::string text, std::string allow = {}) {
+    Fault f{status, std::move(text), 0, std::move(allow)};
+    f.keep_connection = true;
+    return f;
+  };
+  const config::Services& services = *snapshot_->services;
+  const config::RequestHeaders& names = services.headers;
+  const auto field = [&](const std::string& name) {
+    return name.empty() ? std::string() : std::string(View(head[name]));
+  };
+  const config::ServiceClass* cls = nullptr;
+  if (rule.class_index >= 0) {
+    cls = &services.classes[static_cast<std::size_t>(rule.class_index)];
+  } else {
+    const std::string stated = field(names.class_name);
+    for (const config::ServiceClass& c : services.classes) {
+      if (c.settings.name == stated) cls = &c;
+    }
+    if (cls == nullptr) return fault(http::status::bad_request, names.class_name + " names no class");
+  }
+  const std::string method(View(head.method_string()));
+  if (!cls->methods.empty() &&
+      std::find(cls->methods.begin(), cls->methods.end(), method) == cls->methods.end()) {
+    return fault(http::status::method_not_allowed, "class " + cls->settings.name + " takes another method",
+                 Joined(cls->methods));
+  }
+  const auto& effects = pool.settings.classes;
+  const auto own = std::find_if(effects.begin(), effects.end(),
+                                [&](const ClassSettings& c) { return c.name == cls->settings.name; });
+  if (own->effect == Effect::kKeyed && head["Idempotency-Key"].empty()) {
+    return fault(http::status::bad_request, "Idempotency-Key is missing");
+  }
+  call.class_name = cls->settings.name;
+  call.tenant = field(names.tenant);
+  call.key = field(names.key);
+  call.retry = field(names.retry) == "1";
+  call.allowed = cls->settings.deadline;
+  if (const std::string stated = field(names.deadline); !stated.empty()) {
+    const auto deadline = ReadDeadline(stated);
+    if (!deadline) return fault(http::status::bad_request, names.deadline + " is malformed");
+    call.allowed = std::min(call.allowed, *deadline);
+  }
+  call.id = field(names.id);
+  if (call.id.size() > kMostId) return fault(http::status::bad_request, names.id + " is too long");
+  if (call.id.empty()) {
+    char id[40];
+    std::snprintf(id, sizeof id, "%016llx-%llx", static_cast<unsigned long long>(seed_),
+                  static_cast<unsigned long long>(++ids_));
+    call.id = id;
+  }
+  call.most_body = pool.request_body;
+  return std::nullopt;
+}
+
+// Takes the request in by its pool's limits, or turns it away at once.
+std::optional<Fault> ServiceGateway::Enter(const std::shared_ptr<Member>& member, Call& call) {
+  const auto refuse = [](http::status status, std::string text, Millis retry_after) {
+    Fault f{status, std::move(text), retry_after};
+    f.keep_connection = true;
+    return f;
+  };
+  if (!places_.Take(member->places)) {
+    return refuse(http::status::service_unavailable, "pool " + member->id + " has no places left",
+                  kBusyRetry);
+  }
+  const auto answer = member->gate.Enter(Now());
+  if (answer.verdict != limits::PoolGate::Verdict::kEnter) {
+    places_.Give(member->places);
+    const bool fast = answer.verdict == limits::PoolGate::Verdict::kTooFast;
+    return refuse(
+        fast ? http::status::too_many_requests : http::status::service_unavailable,
+        "pool " + member->id + (fast ? " takes no more requests a second" : " holds no more requests"),
+        answer.retry_after);
+  }
+  const auto ticket = std::make_shared<Ticket>(*this, member);
+  call.hold = ticket;
+  call.pool = member->pool;
+  call.reserve = [this, weak = std::weak_ptr(ticket)](std::uint64_t bytes) {
+    const auto held = weak.lock();
+    if (!held || held->body > 0 || !bodies_.Take(held->member->bodies, bytes)) return false;
+    held->body = bytes;
+    return true;
+  };
+  return std::nullopt;
+}
+
+void ServiceGateway::Stop(std::function<void()> done, const StopTimes& times) {
+  stop_.Begin(std::move(done), times);
+}
+
+std::shared_ptr<const Pool> ServiceGateway::pool(const std::string& id) const {
+  for (const auto& member : snapshot_->members) {
+    if (member->id == id) return member->pool;
+  }
+  return nullptr;
+}
+
+}  // namespace opalswitch::gateway
--- a/src/http/client_server.cpp
+++ b/src/http/client_server.cpp
@@ -4,14 +4,16 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <cmath>
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "base/clock.hpp"
+#include "gateway/pool.hpp"
+#include "http/message_rules.hpp"
 
 namespace opalswitch::gateway {
 namespace {
@@ -25,26 +27,8 @@
 constexpr std::size_t kMostBuffer = 24 * 1024;      // holds a whole head; bodies pass through it
 constexpr std::size_t kKeptBuffer = 4096;           // what a connection between requests may hold on to
 constexpr std::size_t kMostDiscarded = 256 * 1024;  // read from a client that was told of the close
+constexpr Millis kNoMemoryWait = 1000;              // advice where no memory is left for a body
 constexpr Millis kAcceptAgain = 50;                 // after an accept that failed, out of descriptors perhaps
-constexpr Millis kMostAllowed = 600000;  // longer deadlines are cut to this: timers must not overflow
-constexpr std::size_t kMostId = 256;
-
-std::string Field(const HttpRequest& http, const char* name) {
-  const auto value = http[name];
-  return {value.data(), value.size()};
-}
-
-// "480m" or "480000u": milliseconds.
-std::optional<Millis> ParseDeadline(std::string_view text) {
-  if (text.size() < 2) return std::nullopt;
-  const double unit = text.back() == 'm' ? 1 : text.back() == 'u' ? 0.001 : 0;
-  double value = 0;
-  const char* const last = text.data() + text.size() - 1;
-  const auto [end, error] = std::from_chars(text.data(), last, value, std::chars_format::fixed);
-  if (unit == 0 || error != std::errc() || end != last) return std::nullopt;
-  if (!std::isfinite(value) || value < 0) return std::nullopt;
-  return std::min(value * unit, kMostAllowed);
-}
 
 // A message that breaks HTTP, as opposed to a connection that ended.
 bool IsMalformed(error_code ec) {
@@ -54,16 +38,17 @@
 
 }  // namespace
 
-struct ClientServer::Fault {
-  http::status status;
-  std::string text;
-};
-
 // One connection of a client, one request at a time: what comes before the last one is answered stays in the
 // socket, or in the head's buffer, and waits its turn. A client that leaves while it waits is noticed.
 class ClientServer::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(ClientServer& server, tcp::socket socket) : server_(server), socket_(std::move(socket)) {}
+  Session(ClientServer& server, std::string listener, tcp::socket socket)
+      : server_(server), socket_(std::move(socket)) {
+    origin_.listener = std::move(listener);
+    error_code ec;
+    const auto peer = socket_.remote_endpoint(ec);
+    if (!ec) origin_.client = peer.address();
+  }
 
   void Begin() {
     error_code ignored;
@@ -129,7 +114,7 @@
 
   void ReadHead() {
     parser_.emplace();
-    parser_->body_limit(kMostBody);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());  // its head decides
     parser_->header_limit(kMostHeader);
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code ec, std::size_t) {
@@ -137,16 +122,39 @@
                             });
   }
 
+  // Meanwhile what the client sends waits in its socket.
+  void ReadAfter(Millis pause) {
+    const auto timer = std::make_shared<asio::steady_timer>(server_.io_, Span(pause));
+    timer->async_wait([self = shared_from_this(), timer, turn = turn_](error_code) {
+      if (self->phase_ == Phase::kReading && self->turn_ == turn) self->ReadHead();
+    });
+  }
+
+  // All that the head can decide is decided before the body is read: what is turned away takes no memory.
   void HeadRead(error_code ec) {
     if (ec) return Unreadable(ec);
-    if (FramingOf(parser_->get()) == Framing::kAmbiguous) {
-      return Refuse({http::status::bad_request, "where the body ends is not clear"});
+    const HttpRequest& head = parser_->get();
+    if (const auto fault = ReadMessage(head, target_)) return Refuse(*fault);
+    call_ = Call();
+    health_ = !server_.health_.empty() && target_.path == server_.health_ && head.method() == http::verb::get;
+    if (!health_) {
+      const auto fault = server_.handlers_.admit(head, target_, origin_, call_);
+      pacer_ = call_.pacer;
+      if (fault) {
+        if (!fault->keep_connection || !parser_->is_done()) return Refuse(*fault);
+        keep_alive_ = head.keep_alive();
+        version_ = head.version();
+        return Answer(ToAnswer(*fault));
+      }
     }
     if (parser_->is_done()) return Take();
     const auto length = parser_->content_length();
-    if (!server_.Reserve(length ? *length : kMostBody, reserved_)) {
-      return Refuse({http::status::service_unavailable, "no memory for the body"});
+    if (length && *length > call_.most_body) return Unreadable(http::error::body_limit);
+    const std::uint64_t room = length ? *length : call_.most_body;
+    if (!server_.Reserve(room, reserved_) || (call_.reserve && !call_.reserve(room))) {
+      return Refuse({http::status::service_unavailable, "no memory for the body", kNoMemoryWait});
     }
+    parser_->body_limit(call_.most_body);
     http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this()](error_code body_ec, std::size_t) {
                        if (self->phase_ != Phase::kReading) return;
@@ -169,27 +177,29 @@
     keep_alive_ = http.keep_alive();
     version_ = http.version();
     const Millis at = std::exchange(came_at_, 0);
-    const std::string_view target(http.target().data(), http.target().size());
-    if (target == "/up" && http.method() == http::verb::get) {
+    if (health_) {
       const bool ready = server_.handlers_.ready();
       return Answer(HttpResponse(ready ? http::status::ok : http::status::service_unavailable, 11));
     }
-    ClientRequest request;
-    if (const auto fault = server_.Check(http, request)) return Refuse(*fault);
-    request.http = std::move(http);
-    request.received = at > 0 ? at : Now();
-    request.answer = [weak = weak_from_this(), turn = ++turn_](HttpResponse response) {
+    Settle(http, target_);
+    head_ = http.method() == http::verb::head;
+    Call call = std::exchange(call_, Call());
+    call.http = std::move(http);
+    call.received = at > 0 ? at : Now();
+    call.answer = [weak = weak_from_this(), turn = ++turn_](HttpResponse response) {
       const auto self = weak.lock();
       if (self && self->turn_ == turn && self->phase_ == Phase::kWaiting) self->Answer(std::move(response));
     };
-    id_ = request.id;
+    id_ = call.id;
+    pool_ = call.pool;
     Enter(Phase::kWaiting);
     if (buffer_.size() > 0) {
-      came_at_ = request.received;  // with the one before it
+      came_at_ = call.received;  // with the one before it
     } else {
       WatchForLeaving();
     }
-    server_.handlers_.taken(std::move(request));
+    const auto pool = pool_;  // the answer may come at once, and the pool be let go with it
+    pool->Take(std::move(call));
   }
 
   // Nothing is read while a request is out: whoever sends on waits in its own socket, and takes no memory
@@ -201,25 +211,37 @@
         self->came_at_ = Now();
         return;
       }
+      const auto pool = self->pool_;
       self->Close();  // its request is told off after the connection is forgotten
-      self->server_.handlers_.gone(self->id_);
+      pool->Gone(self->id_);
     });
   }
 
   // Whoever broke the protocol once has no place to go on from: what follows could be anything.
   void Refuse(const Fault& fault) {
+    HttpResponse response = ToAnswer(fault);
+    response.keep_alive(false);
+    Answer(std::move(response));
+  }
+
+  static HttpResponse ToAnswer(const Fault& fault) {
     HttpResponse response(fault.status, 11);
     response.set(http::field::content_type, "text/plain");
-    if (fault.status == http::status::method_not_allowed) response.set(http::field::allow, "GET, POST");
+    if (!fault.allow.empty()) response.set(http::field::allow, fault.allow);
+    if (fault.retry_after > 0) {
+      response.set(http::field::retry_after,
+                   std::to_string(static_cast<int>(std::ceil(fault.retry_after / 1000))));
+    }
     response.body() = fault.text + "\n";
-    response.keep_alive(false);
-    Answer(std::move(response));
+    return response;
   }
 
   void Answer(HttpResponse response) {
     Enter(Phase::kWriting);
     Release();
+    pool_.reset();
     response_ = std::move(response);
+    turned_away_ = response_.result_int() == 429 || response_.result_int() >= 500;
     const bool may_stay = response_.keep_alive();
     response_.version(version_);
     // In a drain, or with clients waiting for a place, the connection ends here: but not on a request that
@@ -228,12 +250,25 @@
     const bool more = buffer_.size() > 0 || socket_.available(ec) > 0;
     keep_alive_ = keep_alive_ && may_stay && (more || !(server_.draining_ || server_.Waiting()));
     response_.keep_alive(keep_alive_);
-    response_.prepare_payload();
+    Frame();
     http::async_write(socket_, response_, [self = shared_from_this()](error_code write_ec, std::size_t) {
       if (self->phase_ == Phase::kWriting) self->Written(write_ec);
     });
   }
 
+  // RFC 9110 8.6 and 9.3.2: an answer to HEAD may tell the length of what GET would have got, and has no
+  // body; 204 and 304 have none either, and 204 tells no length.
+  void Frame() {
+    const http::status status = response_.result();
+    if (!std::exchange(head_, false) && status != http::status::no_content &&
+        status != http::status::not_modified) {
+      return response_.prepare_payload();
+    }
+    response_.body().clear();
+    response_.erase(http::field::transfer_encoding);
+    if (status == http::status::no_content) response_.erase(http::field::content_length);
+  }
+
   void Written(error_code ec) {
     response_ = {};
     if (ec) return Close();
@@ -241,7 +276,14 @@
     ++answered_;
     Enter(Phase::kReading);
     if (buffer_.size() == 0 && buffer_.capacity() > kKeptBuffer) buffer_.shrink_to_fit();
-    ReadHead();
+    parser_.emplace();  // Begun() asks it
+    const auto pacer = std::exchange(pacer_, nullptr);
+    const Millis pause = turned_away_ && pacer ? pacer->Pause(Now()) : 0;
+    if (pause > 0 && !server_.draining_) {
+      ReadAfter(pause);
+    } else {
+      ReadHead();
+    }
     if (server_.stopped_ && Idle()) return Close();
     while (server_.Crowded() && server_.Evict(/*idle_only=*/true)) {
     }
@@ -271,14 +313,26 @@
     });
   }
 
-  void Release() { server_.reserved_ -= std::exchange(reserved_, 0); }
+  // What its request holds of the memory and of its pool's limits, as far as that is not the pool's by now.
+  void Release() {
+    server_.reserved_ -= std::exchange(reserved_, 0);
+    call_ = Call();
+  }
 
   ClientServer& server_;
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kMostBuffer};
   std::optional<http::request_parser<http::string_body>> parser_;
   HttpResponse response_;
+  Origin origin_;
+  routing::Target target_;                // of the request that is being read
+  Call call_;                             // the same, from its head until it is taken
+  bool health_ = false;                   // it asks for this gateway's own health
+  bool head_ = false;                     // it is a HEAD request
+  std::shared_ptr<limits::Pacer> pacer_;  // of the pool that it is for
+  bool turned_away_ = false;              // by the last answer
   std::string id_;
+  std::shared_ptr<Pool> pool_;  // that has its request
   std::uint64_t turn_ = 0;
   std::uint64_t answered_ = 0;
   std::size_t reserved_ = 0;  // bytes of body that count against the server's
@@ -290,43 +344,66 @@
   bool keep_alive_ = true;
 };
 
-ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, const ClientLimits& limits,
-                           const Settings& settings, Handlers handlers)
-    : io_(io), acceptor_(io), limits_(limits), handlers_(std::move(handlers)), sweep_(io), accept_again_(io) {
-  for (const ClassSettings& c : settings.classes) classes_[c.name] = c.effect;
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.non_blocking(true);
-  acceptor_.bind(address);
-  acceptor_.listen();
-  Accept();
+// One address that clients connect to.
+struct ClientServer::Door {
+  Door(asio::io_context& io, std::string name, const tcp::endpoint& address)
+      : id(std::move(name)), asked(address), acceptor(io), again(io) {}
+  std::string id;
+  const tcp::endpoint asked;  // its port may be 0
+  tcp::acceptor acceptor;
+  asio::steady_timer again;
+  bool accepting = false;
+};
+
+ClientServer::ClientServer(asio::io_context& io, const ClientLimits& limits, Handlers handlers,
+                           std::string health)
+    : io_(io), limits_(limits), handlers_(std::move(handlers)), health_(std::move(health)), sweep_(io) {
   Sweep();
 }
 
 ClientServer::~ClientServer() = default;
 
-void ClientServer::Accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
-  accepting_ = true;
-  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
-    accepting_ = false;
-    if (!acceptor_.is_open()) return;
+tcp::endpoint ClientServer::Listen(const std::string& id, const tcp::endpoint& address) {
+  const auto door = std::make_shared<Door>(io_, id, address);
+  door->acceptor.open(address.protocol());
+  door->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  door->acceptor.non_blocking(true);
+  door->acceptor.bind(address);
+  door->acceptor.listen();
+  doors_.push_back(door);
+  Accept(door);
+  return door->acceptor.local_endpoint();
+}
+
+tcp::endpoint ClientServer::address(const std::string& id) const {
+  for (const auto& door : doors_) {
+    if (door->id == id) return door->acceptor.local_endpoint();
+  }
+  return {};
+}
+
+void ClientServer::Accept(const std::shared_ptr<Door>& door) {
+  if (door->accepting || !door->acceptor.is_open()) return;
+  door->accepting = true;
+  door->acceptor.async_accept([this, door](error_code ec, tcp::socket socket) {
+    if (!door->acceptor.is_open()) return;  // closed, perhaps with this server
+    door->accepting = false;
     if (!ec) {
-      Accepted(std::move(socket));
+      Accepted(*door, std::move(socket));
       // With all places taken by requests under way, further clients wait in the kernel's queue.
-      if (!Full() || Evict()) Accept();
+      if (!Full() || Evict()) Accept(door);
       return;
     }
     if (ec == asio::error::no_descriptors) Evict();
-    accept_again_.expires_after(Span(kAcceptAgain));  // at once would spin
-    accept_again_.async_wait([this](error_code wait_ec) {
-      if (!wait_ec) Accept();
+    door->again.expires_after(Span(kAcceptAgain));  // at once would spin
+    door->again.async_wait([this, door](error_code wait_ec) {
+      if (!wait_ec && door->acceptor.is_open()) Accept(door);
     });
   });
 }
 
-void ClientServer::Accepted(tcp::socket socket) {
-  const auto session = std::make_shared<Session>(*this, std::move(socket));
+void ClientServer::Accepted(const Door& door, tcp::socket socket) {
+  const auto session = std::make_shared<Session>(*this, door.id, std::move(socket));
   sessions_.insert(session);
   session->Begin();
 }
@@ -334,10 +411,14 @@
 void ClientServer::Closed(const std::shared_ptr<Session>& session) {
   sessions_.erase(session);
   if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
-  if (!Full()) Accept();
+  if (Full()) return;
+  for (const auto& door : doors_) Accept(door);
 }
 
-bool ClientServer::Waiting() const { return !accepting_ && acceptor_.is_open() && Full(); }
+bool ClientServer::Waiting() const {
+  return Full() && std::any_of(doors_.begin(), doors_.end(),
+                               [](const auto& door) { return !door->accepting && door->acceptor.is_open(); });
+}
 
 // Connections that clients keep after a request and don't use again count against what they may open: past
 // `usual` they shut further clients out, long before places run out here. In a stop the kept ones are all
@@ -377,16 +458,28 @@
   });
 }
 
-void ClientServer::StopListening() {
+void ClientServer::Close(Door& door) {
   // Whoever stands in the queue has connected, and may have sent a request: to close on it would lose that.
   for (error_code ec; !Full();) {
-    tcp::socket socket = acceptor_.accept(ec);
+    tcp::socket socket = door.acceptor.accept(ec);
     if (ec) break;
-    Accepted(std::move(socket));
+    Accepted(door, std::move(socket));
   }
   error_code ignored;
-  acceptor_.close(ignored);
-  accept_again_.cancel();
+  door.acceptor.close(ignored);
+  door.again.cancel();
+}
+
+void ClientServer::Unlisten(const std::string& id, const tcp::endpoint& asked) {
+  std::erase_if(doors_, [&](const auto& door) {
+    if (door->id != id || door->asked != asked) return false;
+    Close(*door);
+    return true;
+  });
+}
+
+void ClientServer::StopListening() {
+  for (const auto& door : doors_) Close(*door);
 }
 
 void ClientServer::Drain(std::function<void()> done) {
@@ -399,40 +492,4 @@
   if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
 }
 
-std::unique_ptr<ClientServer::Fault> ClientServer::Check(const HttpRequest& http,
-                                                         ClientRequest& request) const {
-  const auto fault = [](http::status status, std::string text) {
-    return std::make_unique<Fault>(Fault{status, std::move(text)});
-  };
-  const std::string_view target(http.target().data(), http.target().size());
-  const std::string_view path = target.substr(0, target.find('?'));
-  if (path != "/api" && !path.starts_with("/api/")) return fault(http::status::not_found, "no such path");
-  // Of two fields with one name, this gateway and a host might each believe another.
-  for (const char* const name : {"Req-Id", "Req-Kind", "Req-Owner", "Req-Key", "Req-Deadline", "Req-Retry",
-                                 "Req-Cost", "Req-Extra", "Idempotency-Key", "Host"}) {
-    if (http.count(name) > 1) return fault(http::status::bad_request, std::string(name) + " is repeated");
-  }
-  request.id = Field(http, "Req-Id");
-  if (request.id.empty() || request.id.size() > kMostId) {
-    return fault(http::status::bad_request, "Req-Id is missing or too long");
-  }
-  request.class_name = Field(http, "Req-Kind");
-  const auto found = classes_.find(request.class_name);
-  if (found == classes_.end()) return fault(http::status::bad_request, "Req-Kind names no class");
-  const auto allowed = ParseDeadline(Field(http, "Req-Deadline"));
-  if (!allowed) return fault(http::status::bad_request, "Req-Deadline is missing or malformed");
-  request.allowed = *allowed;
-  // A repeat of a request that is not safe must be possible to tell from its class and method alike.
-  if (http.method() != (found->second == Effect::kSafe ? http::verb::get : http::verb::post)) {
-    return fault(http::status::method_not_allowed, "the class takes another method");
-  }
-  if (found->second == Effect::kKeyed && http["Idempotency-Key"].empty()) {
-    return fault(http::status::bad_request, "Idempotency-Key is missing");
-  }
-  request.tenant = Field(http, "Req-Owner");
-  request.retry = http["Req-Retry"] == "1";
-  request.key = Field(http, "Req-Key");
-  return nullptr;
-}
-
 }  // namespace opalswitch::gateway
--- a/src/http/client_server.hpp
+++ b/src/http/client_server.hpp
@@ -8,23 +8,22 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
-#include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include "base/http_types.hpp"
+#include "gateway/call.hpp"
 #include "opalswitch/policy.hpp"
+#include "routing/target.hpp"
 
 namespace opalswitch::gateway {
 
-// A client's well-formed request.
-struct ClientRequest {
-  HttpRequest http;
-  std::string id, class_name, tenant, key;
-  bool retry = false;                        // the client's own further try
-  Millis received = 0;                       // when its last byte was read
-  Millis allowed = 0;                        // how long the client waits, from when it sent it
-  std::function<void(HttpResponse)> answer;  // to be called once; what follows is dropped
+// Where a request came in.
+struct Origin {
+  std::string listener;             // its id
+  boost::asio::ip::address client;  // who connected
 };
 
 struct ClientLimits {
@@ -43,18 +42,25 @@
  public:
   struct Handlers {
     std::function<bool()> ready;
-    std::function<void(ClientRequest)> taken;
-    std::function<void(const std::string& id)> gone;  // the client of an unanswered request has left
+    // Decides by its head what becomes of a request: fills in the call, all but its message, its time and its
+    // answer, or gives the answer to one that goes no further.
+    std::function<std::optional<Fault>(const HttpRequest&, const routing::Target&, const Origin&, Call&)>
+        admit;
   };
 
-  // Listens at once. Throws boost::system::system_error if it can't.
-  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-               const ClientLimits& limits, const Settings& settings, Handlers handlers);
+  // `health`: the path by which GET tells whether the gateway is ready; empty = none.
+  ClientServer(boost::asio::io_context& io, const ClientLimits& limits, Handlers handlers,
+               std::string health);
   ~ClientServer();
 
-  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  // Listens at once, under a name. Throws boost::system::system_error if it can't.
+  boost::asio::ip::tcp::endpoint Listen(const std::string& id, const boost::asio::ip::tcp::endpoint& address);
+  // Takes what has connected so far, then closes that listener. Its connections are served on.
+  void Unlisten(const std::string& id, const boost::asio::ip::tcp::endpoint& asked);
+  boost::asio::ip::tcp::endpoint address(const std::string& id) const;
+  std::size_t connections() const { return sessions_.size(); }
 
-  // Takes what has connected so far, then closes the listener.
+  // The same for all listeners.
   void StopListening();
   // Closes the connections between requests; from now on each answer closes its own. `done` follows when the
   // last one is closed.
@@ -64,8 +70,10 @@
   class Session;
   // The order in which connections are closed where places have run out.
   enum class Standing { kTold, kSilent, kHalfRequest, kBetween, kNew, kKept };
-  void Accept();
-  void Accepted(boost::asio::ip::tcp::socket socket);
+  struct Door;
+  void Accept(const std::shared_ptr<Door>& door);
+  void Accepted(const Door& door, boost::asio::ip::tcp::socket socket);
+  void Close(Door& door);
   void Closed(const std::shared_ptr<Session>& session);
   bool Full() const { return sessions_.size() >= limits_.sessions; }
   // Clients stand in the kernel's queue for want of a place.
@@ -75,20 +83,15 @@
   // Counts a body that is to be read; false if there is no room for it.
   bool Reserve(std::uint64_t bytes, std::size_t& held);
   void Sweep();
-  // Checks a request against the settings and the protocol; the error is an answer's status and text.
-  struct Fault;
-  std::unique_ptr<Fault> Check(const HttpRequest& http, ClientRequest& request) const;
 
   boost::asio::io_context& io_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<Door>> doors_;
   const ClientLimits limits_;
   std::uint64_t reserved_ = 0;
-  std::unordered_map<std::string, Effect> classes_;
   const Handlers handlers_;
+  const std::string health_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   boost::asio::steady_timer sweep_;
-  boost::asio::steady_timer accept_again_;
-  bool accepting_ = false;
   bool draining_ = false;
   std::function<void()> stopped_;
 };
--- /dev/null
+++ b/src/http/platform_call.hpp
@@ -0,0 +1,32 @@
+// A client's request as the platform's protocol words it: its fields say what class, tenant and deadline it
+// has.
+#ifndef OPALSWITCH_HTTP_PLATFORM_CALL_HPP_
+#define OPALSWITCH_HTTP_PLATFORM_CALL_HPP_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/http_types.hpp"
+#include "gateway/call.hpp"
+#include "opalswitch/policy.hpp"
+#include "routing/target.hpp"
+
+namespace opalswitch::gateway {
+
+using Classes = std::unordered_map<std::string, Effect>;
+Classes PlatformClasses(const Settings& settings);
+
+// Fills in the call, or gives the answer to a request that breaks the protocol.
+std::optional<Fault> CheckPlatformCall(const Classes& classes, const HttpRequest& head,
+                                       const routing::Target& target, Call& call);
+
+// "480m" or "480000u": milliseconds. Longer ones are cut to ten minutes: timers must not overflow.
+std::optional<Millis> ParseDeadline(std::string_view text);
+
+constexpr std::size_t kMostId = 256;  // characters of a request's id
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_HTTP_PLATFORM_CALL_HPP_
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -35,7 +35,8 @@
   boost::beast::flat_buffer buffer;
 };
 
-Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::int64_t revision, Handlers handlers)
+Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::optional<std::int64_t> revision,
+                     Handlers handlers)
     : io_(io), address_(address), revision_(revision), handlers_(std::move(handlers)), pause_(io) {}
 
 void Discovery::Watch() {
@@ -57,20 +58,21 @@
   const auto call = call_ = std::make_shared<Call>(io_);
   const bool fresh = socket_ == nullptr;
   call->timer.expires_after(Span(fresh ? kDial : kWait + kSilence));
-  call->timer.async_wait([this, call](error_code ec) {
-    if (!ec) Fail(call);
+  call->timer.async_wait([this, call, alive = std::weak_ptr(alive_)](error_code ec) {
+    if (!ec && !alive.expired()) Fail(call);
   });
   if (!fresh) return Connected(call);
   socket_ = std::make_shared<tcp::socket>(io_);
-  socket_->async_connect(address_, [this, call, socket = socket_](error_code ec) {
-    if (call != call_) return;
-    if (ec) return Fail(call);
-    call->timer.expires_after(Span(kWait + kSilence));
-    call->timer.async_wait([this, call](error_code timer_ec) {
-      if (!timer_ec) Fail(call);
-    });
-    Connected(call);
-  });
+  socket_->async_connect(address_,
+                         [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec) {
+                           if (alive.expired() || call != call_) return;
+                           if (ec) return Fail(call);
+                           call->timer.expires_after(Span(kWait + kSilence));
+                           call->timer.async_wait([this, call, alive](error_code timer_ec) {
+                             if (!timer_ec && !alive.expired()) Fail(call);
+                           });
+                           Connected(call);
+                         });
 }
 
 void Discovery::Connected(const std::shared_ptr<Call>& call) {
@@ -81,16 +83,18 @@
   }
   call->request.target(target);
   call->request.set(http::field::host, address_.address().to_string());
-  http::async_write(*socket_, call->request, [this, call, socket = socket_](error_code ec, std::size_t) {
-    if (call != call_) return;
-    if (ec) return Fail(call);
-    http::async_read(*socket, call->buffer, call->parser,
-                     [this, call, socket](error_code read_ec, std::size_t) {
-                       if (call != call_) return;
-                       if (read_ec) return Fail(call);
-                       Answered(call);
-                     });
-  });
+  const auto read = [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec,
+                                                                                  std::size_t) {
+    if (alive.expired() || call != call_) return;
+    ec ? Fail(call) : Answered(call);
+  };
+  http::async_write(
+      *socket_, call->request,
+      [this, call, socket = socket_, alive = std::weak_ptr(alive_), read](error_code ec, std::size_t) {
+        if (alive.expired() || call != call_) return;
+        if (ec) return Fail(call);
+        http::async_read(*socket, call->buffer, call->parser, read);
+      });
 }
 
 void Discovery::Answered(const std::shared_ptr<Call>& call) {
@@ -101,11 +105,13 @@
   call_.reset();
   if (!answer.keep_alive()) socket_.reset();
   revision_ = list->revision;
+  const std::weak_ptr alive(alive_);
   handlers_.told(std::move(*list));
+  if (alive.expired()) return;
   // A discovery that answers at once, as an agent with pushed lists does, must not be asked in a tight loop.
   pause_.expires_after(Span(kCallGap - (Now() - call->begun)));
-  pause_.async_wait([this, moves = moves_](error_code ec) {
-    if (!ec && moves == moves_) Ask();
+  pause_.async_wait([this, moves = moves_, alive = std::weak_ptr(alive_)](error_code ec) {
+    if (!ec && !alive.expired() && moves == moves_) Ask();
   });
 }
 
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -20,8 +20,8 @@
     std::function<void(HostList)> told;
     std::function<void()> failed;  // the watch has ended; Watch() begins a new one
   };
-  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, std::int64_t revision,
-            Handlers handlers);
+  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address,
+            std::optional<std::int64_t> revision, Handlers handlers);
 
   // Begins a watch, from the last revision known; does nothing while one is on.
   void Watch();
@@ -47,6 +47,8 @@
   std::uint64_t moves_ = 0;
   boost::asio::steady_timer pause_;
   bool watching_ = false;
+  // Handlers that are still on their way when this ends find it gone.
+  const std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 }  // namespace opalswitch::gateway
--- a/src/membership/host_list.cpp
+++ b/src/membership/host_list.cpp
@@ -37,6 +37,17 @@
 
 }  // namespace
 
+std::optional<Host> ParseHost(const json& entry, std::string& error) {
+  try {
+    return ToHost(entry);
+  } catch (const json::exception& broken) {
+    error = broken.what();
+  } catch (const std::invalid_argument& broken) {
+    error = broken.what() + std::string(": missing or malformed");
+  }
+  return std::nullopt;
+}
+
 std::optional<HostList> ParseHostList(std::string_view text) {
   try {
     const json parsed = json::parse(text);
--- a/src/membership/host_list.hpp
+++ b/src/membership/host_list.hpp
@@ -4,7 +4,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -23,6 +25,9 @@
   std::vector<Host> hosts;
 };
 
+// One entry of a list. Nothing if it is broken in any part; `error` names the field.
+std::optional<Host> ParseHost(const nlohmann::json& entry, std::string& error);
+
 // Nothing if the text is broken in any part: half a list must not pass for a whole one.
 std::optional<HostList> ParseHostList(std::string_view text);
 
--- /dev/null
+++ b/src/membership/source.cpp
@@ -0,0 +1,95 @@
+#include "membership/source.hpp"
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "base/clock.hpp"
+
+namespace opalswitch::gateway {
+namespace {
+
+constexpr std::size_t kMostFile = 8 << 20;
+constexpr Millis kAskAgain = 200;  // from a call that failed to the next
+
+}  // namespace
+
+StaticSource::StaticSource(std::vector<Host> hosts, Handlers handlers)
+    : hosts_(std::move(hosts)), handlers_(std::move(handlers)) {}
+
+void StaticSource::Start() { handlers_.told({0, true, hosts_}); }
+
+void StaticSource::Change(std::vector<Host> hosts) {
+  hosts_ = std::move(hosts);
+  Start();
+}
+
+std::optional<HostList> ReadHostFile(const std::string& text, std::string& error) {
+  if (text.find_first_not_of(" \t\r\n") == std::string::npos) return error = "is empty", std::nullopt;
+  nlohmann::json parsed = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!parsed.is_object()) return error = "is no whole JSON object", std::nullopt;
+  const auto members = parsed.find("members");
+  if (members == parsed.end() || !members->is_array())
+    return error = "members: missing, or not a list", std::nullopt;
+  const auto empty = parsed.find("empty");
+  if (members->empty() && (empty == parsed.end() || *empty != true)) {
+    return error = "members: none; say \"empty\": true beside it if there are to be none", std::nullopt;
+  }
+  HostList list;
+  std::set<std::string> ids;
+  for (std::size_t i = 0; i < members->size(); ++i) {
+    const auto host = ParseHost((*members)[i], error);
+    if (!host) return error = "members[" + std::to_string(i) + "]." + error, std::nullopt;
+    if (!ids.insert(host->server.id).second) {
+      return error = "members[" + std::to_string(i) + "].id: '" + host->server.id + "' is listed twice",
+             std::nullopt;
+    }
+    if (host->server.state != ServerState::kGone) list.hosts.push_back(*host);
+  }
+  return list;
+}
+
+FileSource::FileSource(boost::asio::io_context& io, std::string path, Handlers handlers)
+    : io_(io), path_(std::move(path)), handlers_(std::move(handlers)) {}
+
+void FileSource::Start() {
+  watch_ = std::make_unique<FileWatch>(io_, path_, [this] { Read(); });
+  Read();
+}
+
+void FileSource::Read() {
+  std::string text, error;
+  std::optional<HostList> list;
+  if (!ReadFile(path_, kMostFile, text)) {
+    error = "can't be read, or is larger than 8 MiB";
+  } else if (text == told_) {
+    return;
+  } else {
+    list = ReadHostFile(text, error);
+  }
+  if (!list) {
+    handlers_.note(path_ + ": " + error +
+                   (told_.empty() ? "; no hosts are known yet" : "; the last good list stays"));
+    return handlers_.failed();
+  }
+  told_ = std::move(text);
+  handlers_.told(*list);
+}
+
+DiscoverySource::DiscoverySource(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+                                 Handlers handlers)
+    : handlers_(std::move(handlers)),
+      again_(io),
+      discovery_(io, address, std::nullopt,
+                 {[this](const HostList& list) { handlers_.told(list); },
+                  [this] {
+                    again_.expires_after(Span(kAskAgain));
+                    again_.async_wait([this, alive = std::weak_ptr(alive_)](boost::system::error_code ec) {
+                      if (!ec && !alive.expired()) discovery_.Watch();
+                    });
+                    handlers_.failed();
+                  }}) {}
+
+void DiscoverySource::Start() { discovery_.Watch(); }
+
+}  // namespace opalswitch::gateway
--- /dev/null
+++ b/src/membership/source.hpp
@@ -0,0 +1,82 @@
+// Where a pool's list of hosts comes from. One interface, whatever the source: the platform's discovery, the
+// operators' file itself, or a file that another program keeps.
+#ifndef OPALSWITCH_MEMBERSHIP_SOURCE_HPP_
+#define OPALSWITCH_MEMBERSHIP_SOURCE_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/file_watch.hpp"
+#include "membership/discovery.hpp"
+#include "membership/host_list.hpp"
+
+namespace opalswitch::gateway {
+
+class Source {
+ public:
+  struct Handlers {
+    std::function<void(const HostList&)> told;
+    std::function<void()> failed;                  // the last list stays valid
+    std::function<void(const std::string&)> note;  // one line for the operators' log
+  };
+  virtual ~Source() = default;
+  // Begins to tell; what is known at once is told before this returns.
+  virtual void Start() = 0;
+};
+
+class StaticSource : public Source {
+ public:
+  StaticSource(std::vector<Host> hosts, Handlers handlers);
+  void Start() override;
+  // The operators' file has another list now.
+  void Change(std::vector<Host> hosts);
+
+ private:
+  std::vector<Host> hosts_;
+  const Handlers handlers_;
+};
+
+// A JSON file in discovery's form: {"members":[...]}; "revision" and "complete" may be left out. To be
+// replaced by renaming. One that is half written, broken or empty changes nothing and is told of; so is one
+// with no hosts in it, unless it says "empty": true.
+class FileSource : public Source {
+ public:
+  FileSource(boost::asio::io_context& io, std::string path, Handlers handlers);
+  void Start() override;
+
+ private:
+  void Read();
+
+  boost::asio::io_context& io_;
+  const std::string path_;
+  const Handlers handlers_;
+  std::unique_ptr<FileWatch> watch_;
+  std::string told_;  // the text that holds now
+};
+
+// The platform's discovery, watched; a call that failed is made again.
+class DiscoverySource : public Source {
+ public:
+  DiscoverySource(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+                  Handlers handlers);
+  void Start() override;
+
+ private:
+  const Handlers handlers_;
+  boost::asio::steady_timer again_;
+  Discovery discovery_;
+  const std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+// What a file of hosts says; `error` tells in one line why it says nothing.
+std::optional<HostList> ReadHostFile(const std::string& text, std::string& error);
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_MEMBERSHIP_SOURCE_HPP_
--- /dev/null
+++ b/src/routing/target.cpp
@@ -0,0 +1,289 @@
+#include "routing/target.hpp"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace opalswitch::routing {
+namespace {
+
+bool IsAlpha(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'); }
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+bool IsUnreserved(char c) { return IsAlpha(c) || IsDigit(c) || c == '-' || c == '.' || c == '_' || c == '~'; }
+bool IsSubDelim(char c) {
+  return c != '\0' && std::string_view("!$&'()*+,;=").find(c) != std::string_view::npos;
+}
+// pchar of RFC 3986, without the percent sign.
+bool IsPlain(char c) { return IsUnreserved(c) || IsSubDelim(c) || c == ':' || c == '@'; }
+
+int HexValue(char c) {
+  if (IsDigit(c)) return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return -1;
+}
+
+// The byte that a code at `i` stands for; -1 if there is no whole code.
+int CodeAt(std::string_view text, std::size_t i) {
+  if (text[i] != '%' || i + 2 >= text.size()) return -1;
+  const int high = HexValue(text[i + 1]), low = HexValue(text[i + 2]);
+  return high < 0 || low < 0 ? -1 : high * 16 + low;
+}
+
+void AppendCode(std::string& out, unsigned char byte) {
+  constexpr char kHex[] = "0123456789ABCDEF";
+  out += '%';
+  out += kHex[byte >> 4];
+  out += kHex[byte & 15];
+}
+
+std::string Shown(char c) {
+  if (c >= ' ' && c <= '~') return std::string("'") + c + "'";
+  std::string code = "byte ";
+  AppendCode(code, static_cast<unsigned char>(c));
+  return code;
+}
+
+// RFC 3629: the only form of each character, no surrogates, nothing past U+10FFFF.
+bool IsUtf8(std::string_view text) {
+  for (std::size_t i = 0; i < text.size();) {
+    const auto lead = static_cast<unsigned char>(text[i]);
+    const std::size_t length = lead < 0x80   ? 1
+                               : lead < 0xC2 ? 0
+                               : lead < 0xE0 ? 2
+                               : lead < 0xF0 ? 3
+                               : lead < 0xF5 ? 4
+                                             : 0;
+    if (length == 0 || i + length > text.size()) return false;
+    for (std::size_t k = 1; k < length; ++k) {
+      const auto next = static_cast<unsigned char>(text[i + k]);
+      const unsigned char least = k > 1 ? 0x80 : lead == 0xE0 ? 0xA0 : lead == 0xF0 ? 0x90 : 0x80;
+      const unsigned char most = k > 1 ? 0xBF : lead == 0xED ? 0x9F : lead == 0xF4 ? 0x8F : 0xBF;
+      if (next < least || next > most) return false;
+    }
+    i += length;
+  }
+  return true;
+}
+
+std::string Decoded(std::string_view text) {
+  std::string out;
+  out.reserve(text.size());
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const int code = CodeAt(text, i);
+    out += code < 0 ? text[i] : static_cast<char>(code);
+    if (code >= 0) i += 2;
+  }
+  return out;
+}
+
+// Takes out repeated slashes and dot segments, and keeps what says that the last segment is a folder.
+std::string WithoutDots(std::string_view path) {
+  std::string out;
+  out.reserve(path.size());
+  std::size_t at = 0;
+  bool folder = false;
+  while (at < path.size()) {
+    const std::size_t begin = at + 1;  // `at` is a slash
+    const std::size_t end = std::min(path.find('/', begin), path.size());
+    const std::string_view segment = path.substr(begin, end - begin);
+    folder = segment.empty() || segment == "." || segment == "..";
+    if (segment == "..") {
+      out.erase(std::min(out.rfind('/'), out.size()));
+    } else if (!folder) {
+      out += '/';
+      out += segment;
+    }
+    at = end;
+  }
+  if (out.empty() || folder) out += '/';
+  return out;
+}
+
+bool CheckQuery(std::string_view query, std::string& error) {
+  for (std::size_t i = 0; i < query.size(); ++i) {
+    const char c = query[i];
+    if (c == '%') {
+      if (CodeAt(query, i) < 0)
+        return error = "a percent sign in the query is not followed by two hex digits", false;
+      i += 2;
+    } else if (!IsPlain(c) && c != '/' && c != '?') {
+      return error = Shown(c) + " does not belong in a query", false;
+    }
+  }
+  return true;
+}
+
+bool TakePath(std::string_view text, Target& target, std::string& error) {
+  const std::size_t mark = std::min(text.find('?'), text.size());
+  target.query = text.substr(mark);
+  if (!target.query.empty() && !CheckQuery(text.substr(mark + 1), error)) return false;
+  const std::string_view path = text.substr(0, mark);
+  auto normal = NormalisePath(path, error);
+  if (!normal) return false;
+  target.normal = *normal == path;
+  target.path = std::move(*normal);
+  return true;
+}
+
+bool IEquals(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
+    return (IsAlpha(x) ? x | 0x20 : x) == (IsAlpha(y) ? y | 0x20 : y);
+  });
+}
+
+}  // namespace
+
+std::optional<std::string> NormalisePath(std::string_view path, std::string& error) {
+  if (path.empty() || path[0] != '/') return error = "a path begins with a slash", std::nullopt;
+  std::string coded;
+  coded.reserve(path.size());
+  bool any = false, slow = false;
+  for (std::size_t i = 0; i < path.size(); ++i) {
+    const char c = path[i];
+    if (c != '%') {
+      if (!IsPlain(c) && c != '/') return error = Shown(c) + " does not belong in a path", std::nullopt;
+      slow = slow || ((c == '.' || c == '/') && i > 0 && path[i - 1] == '/');
+      coded += c;
+      continue;
+    }
+    const int code = CodeAt(path, i);
+    if (code < 0) return error = "a percent sign in the path is not followed by two hex digits", std::nullopt;
+    if (code < 0x20 || code == 0x7F) return error = "the path holds a coded control character", std::nullopt;
+    any = true;
+    if (IsUnreserved(static_cast<char>(code))) {
+      coded += static_cast<char>(code);
+    } else {
+      AppendCode(coded, static_cast<unsigned char>(code));
+    }
+    i += 2;
+  }
+  if (any && !IsUtf8(Decoded(path))) return error = "the path's percent codes are no UTF-8", std::nullopt;
+  return any || slow ? WithoutDots(coded) : std::move(coded);
+}
+
+std::vector<std::string> HostReadings(std::string_view path) {
+  std::vector<std::string> readings;
+  if (path.find_first_of("%;") == std::string_view::npos) return readings;
+  const auto add = [&](std::string decoded) {
+    std::string coded;
+    for (const char c : decoded) {
+      if (IsPlain(c) || c == '/') {
+        coded += c;
+      } else {
+        AppendCode(coded, static_cast<unsigned char>(c));
+      }
+    }
+    std::string reading = WithoutDots(coded);
+    if (reading != path && std::find(readings.begin(), readings.end(), reading) == readings.end()) {
+      readings.push_back(std::move(reading));
+    }
+  };
+  std::string decoded = Decoded(path);
+  add(decoded);
+  std::replace(decoded.begin(), decoded.end(), '\\', '/');
+  std::string bare;
+  bool parameter = false;
+  for (const char c : decoded) {
+    parameter = c != '/' && (parameter || c == ';');
+    if (!parameter) bare += c;
+  }
+  add(bare);
+  // Some take the parameters off before they decode.
+  std::string first;
+  parameter = false;
+  for (const char c : path) {
+    parameter = c != '/' && (parameter || c == ';');
+    if (!parameter) first += c;
+  }
+  first = Decoded(first);
+  std::replace(first.begin(), first.end(), '\\', '/');
+  add(first);
+  return readings;
+}
+
+std::optional<Authority> ReadAuthority(std::string_view text, std::string& error) {
+  Authority authority;
+  if (text.empty()) return authority;
+  if (text.find('@') != std::string_view::npos)
+    return error = "an authority holds no user here", std::nullopt;
+  std::size_t end = 0;
+  if (text[0] == '[') {
+    end = text.find(']');
+    if (end == std::string_view::npos) return error = "an address in brackets has no end", std::nullopt;
+    const std::string inner(text.substr(1, end - 1));
+    in6_addr address{};
+    char buffer[INET6_ADDRSTRLEN];
+    if (inet_pton(AF_INET6, inner.c_str(), &address) != 1 ||
+        inner.size() != std::char_traits<char>::length(inner.c_str())) {
+      return error = "what stands in brackets is no IPv6 address", std::nullopt;
+    }
+    authority.host = std::string("[") + inet_ntop(AF_INET6, &address, buffer, sizeof buffer) + "]";
+    ++end;
+  } else {
+    end = std::min(text.find(':'), text.size());
+    for (const char c : text.substr(0, end)) {
+      if (!IsUnreserved(c) && !IsSubDelim(c))
+        return error = Shown(c) + " does not belong in a host's name", std::nullopt;
+      authority.host += IsAlpha(c) ? static_cast<char>(c | 0x20) : c;
+    }
+    if (authority.host.size() > 1 && authority.host.back() == '.') authority.host.pop_back();
+    if (authority.host.empty()) return error = "a port needs a host before it", std::nullopt;
+    if (authority.host.size() > 255)
+      return error = "a host's name holds 255 characters at most", std::nullopt;
+  }
+  if (end == text.size()) return authority;
+  if (text[end] != ':') return error = "after a host only a port may follow", std::nullopt;
+  const std::string_view digits = text.substr(end + 1);
+  if (digits.empty()) return authority;  // RFC 3986: a port may be empty
+  int port = 0;
+  const auto [last, failed] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (failed != std::errc() || last != digits.data() + digits.size() || !IsDigit(digits[0]) || port > 65535) {
+    return error = "a port is a number up to 65535", std::nullopt;
+  }
+  authority.port = port;
+  return authority;
+}
+
+std::optional<Target> ReadTarget(std::string_view method, std::string_view text, std::string& error) {
+  Target target;
+  if (method == "CONNECT") {
+    target.form = Form::kAuthority;
+    auto authority = ReadAuthority(text, error);
+    if (!authority) return std::nullopt;
+    if (!authority->port || authority->host.empty())
+      return error = "CONNECT takes a host and a port", std::nullopt;
+    target.authority = *authority;
+    return target;
+  }
+  if (text == "*") {
+    if (method != "OPTIONS") return error = "only OPTIONS may be for \"*\"", std::nullopt;
+    target.form = Form::kAsterisk;
+    target.path = "*";
+    return target;
+  }
+  if (text.empty()) return error = "the request-target is empty", std::nullopt;
+  if (text[0] == '/') {
+    if (!TakePath(text, target, error)) return std::nullopt;
+    return target;
+  }
+  const std::size_t colon = text.find("://");
+  const bool http = colon != std::string_view::npos && IEquals(text.substr(0, colon), "http");
+  if (!http) return error = "the request-target is neither a path nor an http URI", std::nullopt;
+  target.form = Form::kAbsolute;
+  const std::string_view rest = text.substr(colon + 3);
+  const std::size_t end = std::min(rest.find_first_of("/?#"), rest.size());
+  auto authority = ReadAuthority(rest.substr(0, end), error);
+  if (!authority) return std::nullopt;
+  if (authority->host.empty()) return error = "an http URI names a host", std::nullopt;  // RFC 9110 4.2.1
+  target.authority = *authority;
+  const std::string_view path = rest.substr(end);
+  if (!TakePath(path.empty() || path[0] != '/' ? "/" + std::string(path) : std::string(path), target,
+                error)) {
+    return std::nullopt;
+  }
+  return target;
+}
+
+}  // namespace opalswitch::routing
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -27,14 +27,19 @@
 constexpr std::size_t kMostBuffer = 32768;  // holds a whole head; bodies pass through it
 
 // Only 503 and 504 with Srv-Declined prove that a request never ran.
-Result ToResult(const HttpResponse& response) {
+Result ToResult(const HttpResponse& response, bool plain) {
   const http::status status = response.result();
-  if (status == http::status::ok) return Result::kServed;
+  if (plain ? response.result_int() < 500 : status == http::status::ok) return Result::kServed;
   const bool declines =
       status == http::status::service_unavailable || status == http::status::gateway_timeout;
   return declines && response["Srv-Declined"] == "1" ? Result::kRejected : Result::kError;
 }
 
+// Answers that end with their head, whatever it says of a length (RFC 9112 6.3).
+bool EndsWithItsHead(http::verb method, unsigned status) {
+  return method == http::verb::head || status == 204 || status == 304;
+}
+
 std::string Serialize(const HttpRequest& request, std::int64_t left) {
   HttpRequest outgoing = request;
   StripHopByHop(outgoing);
@@ -107,6 +112,7 @@
   void Close() {
     if (!std::exchange(open_, false)) return;
     --pool_.connections_;
+    if (pool_.limits_.give_socket) pool_.limits_.give_socket();
     error_code ignored;
     socket_.close(ignored);
     timer_.cancel();
@@ -158,6 +164,7 @@
 
   void Write() {
     outgoing_ = Serialize(*job_->request, static_cast<std::int64_t>(job_->deadline - Now()));
+    method_ = job_->request->method();
     job_->request.reset();
     error_code ec;
     socket_.non_blocking(true, ec);
@@ -181,8 +188,9 @@
 
   void ReadHead() {
     parser_.emplace();
-    parser_->body_limit(kMostBody);
+    parser_->body_limit(pool_.limits_.answer_body);
     parser_->header_limit(kMostHeader);
+    if (method_ == http::verb::head) parser_->skip(true);
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code ec, std::size_t) {
                               if (self->open_) self->HeadRead(ec);
@@ -200,7 +208,14 @@
       return ReadHead();
     }
     const auto length = parser_->content_length();
-    if (FramingOf(head) != Framing::kDelimited || (length && *length > kMostBody)) return End(Result::kReset);
+    const Framing framing = FramingOf(head);
+    if (pool_.limits_.plain && EndsWithItsHead(method_, head.result_int())) {
+      if (framing == Framing::kAmbiguous || !parser_->is_done()) return End(Result::kReset);
+      return Received({});
+    }
+    if (framing != Framing::kDelimited || (length && *length > pool_.limits_.answer_body)) {
+      return End(Result::kReset);
+    }
     if (parser_->is_done()) return Received({});
     http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
       if (self->open_) self->Received(ec);
@@ -209,7 +224,7 @@
 
   void Received(error_code ec) {
     // Seen with Boost 1.74: an answer one byte over the parser's own limit got through.
-    if (ec || parser_->get().body().size() > kMostBody) return End(Result::kReset);
+    if (ec || parser_->get().body().size() > pool_.limits_.answer_body) return End(Result::kReset);
     HttpResponse response = parser_->release();
     const bool reusable = response.keep_alive() && Fresh() && pool_.MayUse(host_, address_);
     // Back to the pool before the outcome is told, for it may lead to the next send.
@@ -218,7 +233,7 @@
     } else {
       Close();
     }
-    const Result result = ToResult(response);
+    const Result result = ToResult(response, pool_.limits_.plain);
     Finish(result, std::move(response));
   }
 
@@ -248,12 +263,18 @@
   std::string outgoing_;
   std::size_t written_ = 0;  // bytes of it that the kernel has taken
   int interim_ = 0;
+  http::verb method_ = http::verb::unknown;  // of the request that is answered
   std::uint64_t turn_ = 0;
   std::optional<Job> job_;
   bool open_ = false;
 };
 
-HostPool::HostPool(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
+HostPool::HostPool(asio::io_context& io, Limits limits) : io_(io), limits_(std::move(limits)) {}
+
+HostPool::~HostPool() {
+  for (auto& [id, host] : hosts_) CloseIdle(host);
+  for (const auto& [attempt, connection] : std::exchange(active_, {})) connection->Close();
+}
 
 void HostPool::Update(const HostList& list) {
   if (list.complete) {
@@ -290,7 +311,7 @@
     }
     connection->Close();
   }
-  if (connections_ >= limits_.connections && !EvictIdle()) {
+  if (!TakeSocket()) {
     job.done(Result::kNotSent, {});
     return attempt;
   }
@@ -298,6 +319,7 @@
   if (connection->Open()) {
     connection->Dial(std::move(job));
   } else {
+    if (limits_.give_socket) limits_.give_socket();
     job.done(Result::kNotSent, {});
   }
   return attempt;
@@ -314,6 +336,14 @@
   for (const auto& connection : std::exchange(host.idle, {})) connection->Close();
 }
 
+// Room for one more connection: by the pool's own limit, and out of what all pools share. An idle connection
+// of this pool gives way for it, never one of another.
+bool HostPool::TakeSocket() {
+  if (connections_ >= limits_.connections && !EvictIdle()) return false;
+  if (!limits_.take_socket) return true;
+  return limits_.take_socket() || (EvictIdle() && limits_.take_socket());
+}
+
 // Makes room by closing the connection that has been idle for longest. Each host's are in that order.
 bool HostPool::EvictIdle() {
   HostState* oldest = nullptr;
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -25,12 +25,22 @@
     Millis dial_timeout = 250;
     Millis idle_timeout = 15000;    // hosts close connections that stood idle for this long
     std::size_t connections = 256;  // over all hosts
+    std::uint64_t answer_body = kMostBody;
+    // Any answer below 500 is served, whatever it says. Else only 200 is.
+    bool plain = false;
+    // Asks for a descriptor and gives one back, where several pools share them; empty = all are this one's.
+    std::function<bool()> take_socket = nullptr;
+    std::function<void()> give_socket = nullptr;
   };
   // How an attempt ended; the answer is that of the host, if there was one. Called once for each Start,
   // perhaps before Start returns.
   using Done = std::function<void(Result, HttpResponse)>;
 
   HostPool(boost::asio::io_context& io, Limits limits);
+  // Closes all connections. Attempts still out are never told of.
+  ~HostPool();
+  HostPool(const HostPool&) = delete;
+  HostPool& operator=(const HostPool&) = delete;
 
   // Takes effect at once: a host that drains or is gone is sent nothing more, not even on a connection that
   // is being dialled.
@@ -54,6 +64,7 @@
 
   void CloseIdle(HostState& host);
   bool EvictIdle();
+  bool TakeSocket();
   bool MayUse(const std::string& host, const boost::asio::ip::tcp::endpoint& address) const;
   void Forget(const std::string& host, const Connection* connection);
 
