Format the stand-in's includes

Cause: a hand-made edit after the formatter ran; tests/run_all.sh stops on it. Change: formatted, nothing else. Result: the format step passes.

--- a/examples/standin.cpp
+++ b/examples/standin.cpp
@@ -1,8 +1,6 @@
 // A stand-in service for trying forkwick out: answers every request with its name, and what it was asked.
 //   standin serve NAME ADDRESS:PORT [NAME ADDRESS:PORT ...]     until it is told to end
 //   standin ask ADDRESS:PORT METHOD HOST PATH [BODY]            one request; prints the answer
-#include <utility>  // which Boost 1.74 forgets for its coroutines
-
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -10,6 +8,7 @@
 #include <cstdio>
 #include <memory>
 #include <string>
+#include <utility>  // which Boost 1.74 forgets for its coroutines
 
 namespace {
 
