--- /dev/null
+++ b/bench/xds_drains.cpp
@@ -0,0 +1,158 @@
+// How long a proxy may still send to a node that drains: from the instant of the drain to the last moment at
+// which the stand-in proxy would route to it, over many drains of a strict pool, over real sockets, with
+// faults: proxies that lose their stream, read nothing for a while, or come back at once, all 200 of them now
+// and then.
+//   xds_drains [PROXIES [DRAINS [STEP_MS]]]
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+
+#include "standins/xds_client.hpp"
+#include "xds/control.hpp"
+#include "xds/server.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+using xds::Control;
+using xds::Type;
+
+constexpr int kNodes = 60;
+constexpr auto kHeld = milliseconds(1000);  // from a node's drain to its end: longer than any lease
+
+double Ms(Clock::duration span) { return std::chrono::duration<double, std::milli>(span).count(); }
+
+struct Drain {
+  int node;
+  Clock::time_point at;
+};
+
+int Play(int count, int drains, milliseconds step) {
+  std::string text =
+      "[[listener]]\nid = \"in\"\naddress = \"127.0.0.1:0\"\n[[class]]\nid = \"view\"\neffect = "
+      "\"safe\"\naim = "
+      "\"1s\"\ndeadline = \"2s\"\n[[pool]]\nid = \"p\"\ndrain = \"strict\"\nhost = [";
+  for (int i = 0; i < kNodes; ++i)
+    text += "{ id = \"n" + std::to_string(i) + "\", address = \"10.0.0." + std::to_string(i + 1) + ":80\" },";
+  text += "]\n[[route]]\npool = \"p\"\nclass = \"view\"\n";
+  const auto parsed = config::ParseServices(text, "bench", "");
+  if (!parsed.services) std::abort();
+  std::unique_ptr<Control> control;
+  xds::ServerOptions options;
+  options.tick = [&](xds::Hub&, Millis now) { return control ? control->Tick(now) : Control::Outs(); };
+  xds::Server server(std::move(options));
+  server.With([&](xds::Hub& hub, Millis now) {
+    control = std::make_unique<Control>(hub, 1, [](const std::string&) {});
+    return control->Configure(parsed.services, now);
+  });
+  server.With([&](xds::Hub&, Millis now) {
+    return control->Told("p", {0, true, parsed.services->pools[0].membership.hosts}, now);
+  });
+  std::vector<std::unique_ptr<XdsClient>> proxies;
+  const auto connect = [&](XdsClient& proxy) {
+    proxy.Connect();
+    proxy.Subscribe(Type::kEndpoint, {"p"});
+  };
+  for (int i = 0; i < count; ++i) {
+    proxies.push_back(std::make_unique<XdsClient>(server.port(), i % 2 == 0, "proxy-" + std::to_string(i)));
+    proxies.back()->RecordUse("p", "10.0.0.");
+    connect(*proxies.back());
+  }
+  for (const auto& proxy : proxies) {
+    if (!proxy->Await([&] { return proxy->held(Type::kEndpoint).size() == 1; })) std::abort();
+  }
+  std::mt19937 random(7);
+  std::vector<double> times;
+  std::size_t faults = 0, late = 0;
+  std::map<std::size_t, Clock::time_point>
+      away;  // proxies that lost their stream or read nothing, until when
+  std::vector<Drain> open;
+  double worst = 0;
+  const auto begun = Clock::now();
+  for (int done = 0, next = 0; done < drains || !open.empty();) {
+    std::this_thread::sleep_for(step);
+    // Faults, before, at and after drains alike.
+    const bool all = count > 1 && random() % 100 == 0;
+    for (std::size_t i = 0; i < proxies.size() && done < drains; ++i) {
+      if (away.contains(i) || random() % (all ? 2 : 40) != 0) continue;
+      ++faults;
+      const auto kind = random() % 3;
+      if (kind == 2 || all) {
+        proxies[i]->Drop();
+        connect(*proxies[i]);  // at once
+        continue;
+      }
+      away[i] = Clock::now() + milliseconds(50 + random() % 700);
+      kind == 0 ? proxies[i]->Drop() : proxies[i]->Ignore();
+    }
+    if (done < drains) {
+      const int node = next++ % kNodes;
+      const bool free =
+          std::none_of(open.begin(), open.end(), [&](const Drain& d) { return d.node == node; });
+      if (free) {
+        const auto at = Clock::now();  // told; all that the service needs from here on counts
+        server.With([&](xds::Hub&, Millis now) { return control->Drain("n" + std::to_string(node), now); });
+        open.push_back({node, at});
+        ++done;
+      }
+    }
+    for (auto at = away.begin(); at != away.end();) {
+      if (Clock::now() < at->second) {
+        ++at;
+        continue;
+      }
+      proxies[at->first]->Drop();
+      connect(*proxies[at->first]);
+      at = away.erase(at);
+    }
+    for (auto drain = open.begin(); drain != open.end();) {
+      const auto until = drain->at + kHeld;
+      if (Clock::now() < until) {
+        ++drain;
+        continue;
+      }
+      for (const auto& proxy : proxies) {
+        const auto last = proxy->LastUse("10.0.0." + std::to_string(drain->node + 1), drain->at, until);
+        const double ms = last ? Ms(*last - drain->at) : 0;
+        times.push_back(ms);
+        late += ms >= 500;
+        worst = std::max(worst, ms);
+      }
+      server.With(
+          [&](xds::Hub&, Millis now) { return control->Undrain("n" + std::to_string(drain->node), now); });
+      drain = open.erase(drain);
+    }
+  }
+  std::sort(times.begin(), times.end());
+  const auto part = [&](double q) {
+    return times[static_cast<std::size_t>(q * static_cast<double>(times.size() - 1))];
+  };
+  rusage usage;
+  getrusage(RUSAGE_SELF, &usage);
+  std::printf(
+      "%4d proxies, %d drains, %zu faults: last use after 50%% %.1f ms, 90%% %.1f, 99%% %.1f, 99.9%% %.1f, "
+      "worst "
+      "%.1f; %zu at 500 ms or later; %.0f s\n",
+      count, drains, faults, part(0.5), part(0.9), part(0.99), part(0.999), worst, late,
+      Ms(Clock::now() - begun) / 1000);
+  std::fflush(stdout);
+  for (const auto& proxy : proxies) proxy->Drop();
+  server.With([&](xds::Hub&, Millis) { return Control::Outs(); });
+  return late == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
+
+int main(int argc, char** argv) {
+  using opalswitch::testing::Play;
+  const auto number = [&](int i, int usual) { return argc > i ? std::atoi(argv[i]) : usual; };
+  if (argc > 1) return Play(number(1, 50), number(2, 1000), std::chrono::milliseconds(number(3, 20)));
+  return Play(1, 1000, std::chrono::milliseconds(20)) + Play(50, 1000, std::chrono::milliseconds(20)) +
+         Play(500, 1000, std::chrono::milliseconds(60));
+}
--- /dev/null
+++ b/bench/xds_push.cpp
@@ -0,0 +1,169 @@
+// What one endpoint's change costs the control service: CPU and bytes a proxy, and what a proxy takes of
+// memory. Endpoint by endpoint (LEDS, delta), whole lists by delta, and state of the world. No sockets:
+// messages are built and serialised as they are sent, and acknowledged at once.
+//   xds_push [PROXIES [ROUNDS]]
+#include <malloc.h>
+#include <time.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "config/services.hpp"
+#include "envoy/service/discovery/v3/discovery.pb.h"
+#include "xds/control.hpp"
+#include "xds/wire.hpp"
+
+namespace opalswitch {
+namespace {
+
+namespace discovery = envoy::service::discovery::v3;
+using xds::Control;
+using xds::Hub;
+using xds::Request;
+using xds::Session;
+using xds::Type;
+
+double CpuMicros() {
+  timespec now;
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) * 1e6 + static_cast<double>(now.tv_nsec) / 1e3;
+}
+
+std::shared_ptr<const config::Services> Services(bool each) {
+  const auto parsed = config::ParseServices(
+      std::string(
+          "[[listener]]\nid = \"in\"\naddress = \"127.0.0.1:0\"\n[[class]]\nid = \"view\"\neffect = "
+          "\"safe\"\n"
+          "aim = \"1s\"\ndeadline = \"2s\"\n[[pool]]\nid = \"p\"\ndrain = \"strict\"\n"
+          "membership = { source = \"file\", file = \"x\" }\n[[route]]\npool = \"p\"\nclass = \"view\"\n"
+          "[control]\ngroup = [{ id = \"g\", each_endpoint = ") +
+          (each ? "true" : "false") + " }]\n",
+      "bench", "");
+  if (!parsed.services) std::abort();
+  return parsed.services;
+}
+
+struct World {
+  World(bool each, Session::Form of, int hosts, std::size_t proxies)
+      : form(of), control(hub, 1, [](const std::string&) {}) {
+    Deliver(control.Configure(Services(each), now));
+    gateway::HostList list;
+    for (int i = 0; i < hosts; ++i) {
+      gateway::Host host;
+      host.server.id = "node-" + std::to_string(i);
+      host.address = {
+          boost::asio::ip::make_address("10." + std::to_string(i >> 16) + "." + std::to_string(i >> 8 & 255) +
+                                        "." + std::to_string(i & 255)),
+          80};
+      list.hosts.push_back(host);
+    }
+    Deliver(control.Told("p", list, now));
+    const double before = static_cast<double>(mallinfo2().uordblks);
+    for (Hub::StreamId stream = 1; stream <= proxies; ++stream) {
+      if (!hub.Open(stream, form, now)) std::abort();
+      Request request;
+      request.type = Type::kEndpoint;
+      request.names = request.subscribe = {"p"};
+      Deliver(hub.Take(stream, Node(stream), request, now));
+      if (!each) continue;
+      Request members;
+      members.type = Type::kMember;
+      members.subscribe = {"xdstp:///envoy.config.endpoint.v3.LbEndpoint/p/zone-/*"};
+      Deliver(hub.Take(stream, Node(stream), members, now));
+    }
+    memory = (static_cast<double>(mallinfo2().uordblks) - before) / static_cast<double>(proxies);
+  }
+  static xds::ProxyNode Node(Hub::StreamId stream) { return {"proxy-" + std::to_string(stream), "", ""}; }
+
+  void Deliver(std::vector<Hub::Out> all) {
+    while (!all.empty()) {
+      std::vector<Hub::Out> next;
+      for (const Hub::Out& out : all) {
+        if (form == Session::Form::kDelta) {
+          Serialise<discovery::DeltaDiscoveryResponse>(out);
+        } else {
+          Serialise<discovery::DiscoveryResponse>(out);
+        }
+        Request ack;
+        ack.type = out.response.type;
+        ack.nonce = out.response.nonce;
+        ack.version = out.response.version;
+        if (ack.type == Type::kEndpoint) ack.names = {"p"};
+        if (form == Session::Form::kDelta) ack.names.clear();
+        auto more = hub.Take(out.stream, Node(out.stream), ack, now);
+        next.insert(next.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+      }
+      all = std::move(next);
+    }
+  }
+  template <typename Message>
+  void Serialise(const Hub::Out& out) {
+    Message message;
+    xds::Fill(message, out, 400, "bench");
+    std::string text;
+    message.SerializeToString(&text);
+    bytes += static_cast<double>(text.size());
+  }
+
+  Millis now = 1e6;
+  const Session::Form form;
+  Hub hub{xds::HubOptions()};
+  Control control;
+  double bytes = 0, memory = 0;
+};
+
+double Median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+}  // namespace
+}  // namespace opalswitch
+
+int main(int argc, char** argv) {
+  using namespace opalswitch;
+  const auto proxies = static_cast<std::size_t>(argc > 1 ? std::atoi(argv[1]) : 500);
+  const int rounds = argc > 2 ? std::atoi(argv[2]) : 9;
+  struct Kind {
+    const char* name;
+    bool each;
+    Session::Form form;
+  };
+  const Kind kinds[] = {{"LEDS, delta", true, Session::Form::kDelta},
+                        {"lists, delta", false, Session::Form::kDelta},
+                        {"lists, SotW", false, Session::Form::kStateOfTheWorld}};
+  std::printf(
+      "one endpoint drains, %zu proxies; median of %d rounds (least to most). Once: deciding and building; "
+      "then a "
+      "proxy's part of it, with serialising and its acknowledgement\n",
+      proxies, rounds);
+  for (const Kind& kind : kinds) {
+    for (const int hosts : {10, 1000, 10000}) {
+      World world(kind.each, kind.form, hosts, proxies);
+      std::vector<double> once, each, bytes;
+      for (int i = 0; i < rounds; ++i) {
+        const std::string node = "node-" + std::to_string(i);
+        world.bytes = 0;
+        const double begun = CpuMicros();
+        auto out = world.control.Drain(node, world.now);
+        const double decided = CpuMicros();
+        world.Deliver(std::move(out));
+        const double done = CpuMicros();
+        if (!world.control.WaitingFor(node, world.now).empty()) std::abort();
+        once.push_back(decided - begun);
+        each.push_back((done - decided) / static_cast<double>(proxies));
+        bytes.push_back(world.bytes / static_cast<double>(proxies));
+      }
+      std::printf(
+          "%-13s %6d endpoints: once %8.0f us, a proxy %8.1f us (%.1f to %.1f) and %9.0f bytes; %8.0f bytes "
+          "of "
+          "memory a proxy\n",
+          kind.name, hosts, Median(once), Median(each), *std::min_element(each.begin(), each.end()),
+          *std::max_element(each.begin(), each.end()), Median(bytes), world.memory);
+      std::fflush(stdout);
+    }
+  }
+}
--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -171,6 +171,14 @@
 
 using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Watch, Log>;
 
+// What a Policy makes of a server, for those who hand its decisions on to proxies instead of sending.
+struct Verdict {
+  std::string server;
+  double weight = 0;     // part of the requests that it should get, relative to the others': its size, times
+                         // its warmth, times how much faster than the usual server it answers
+  bool suspect = false;  // left out for failing
+};
+
 class Policy {
  public:
   // Throws std::invalid_argument naming the field when the settings cannot work.
@@ -183,6 +191,9 @@
   // to `actions` (which is not cleared). Give it the server list first: nothing is sent before.
   void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
+  // Of the servers that are up, in the order of their ids, as of the last event.
+  std::vector<Verdict> Verdicts() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/config/services.cpp
+++ b/src/config/services.cpp
@@ -56,6 +56,13 @@
     Each(top, "tenant", 10000, [&](Fields& f) { ReadTenant(f); });
     Each(top, "pool", kMostPools, [&](Fields& f) { ReadPool(f); });
     Each(top, "route", kMostRoutes, [&](Fields& f) { ReadRoute(f); });
+    if (const auto* const table = top.Table("control")) {
+      std::vector<std::string> pools, listeners;
+      for (const Pool& pool : services_.pools) pools.push_back(pool.id);
+      for (const Listener& listener : services_.listeners) listeners.push_back(listener.id);
+      Fields f(*table, "control", issues_);
+      services_.control = ReadControl(f, issues_, pools, listeners, folder_);
+    }
     for (const auto& [list, expected] : std::initializer_list<std::pair<const char*, const char*>>{
              {"listener", "a [[listener]] with an address to listen at"},
              {"class", "a [[class]] of requests"},
@@ -212,10 +219,6 @@
     return portion;
   }
 
-  std::string PathOf(const std::string& file) const {
-    return file.empty() || file[0] == '/' || folder_.empty() ? file : folder_ + "/" + file;
-  }
-
   void ReadHosts(Fields& f, Pool& pool) {
     std::set<std::string> seen;
     const auto tables = f.Tables("host");
@@ -255,7 +258,7 @@
                                  "\"static\", \"file\" or \"discovery\"");
       m.source = static_cast<Membership::Source>(source);
       if (m.source == Membership::Source::kFile)
-        m.file = PathOf(s.Need("file", s.Text("file"), "the path of a list of hosts"));
+        m.file = PathIn(folder_, s.Need("file", s.Text("file"), "the path of a list of hosts"));
       if (m.source == Membership::Source::kDiscovery) {
         m.discovery =
             s.Need("address", s.Address("address"), "the IP address and port of a discovery service");
@@ -305,6 +308,7 @@
       pool.idle_timeout = t.Duration("idle").value_or(15000);
     }
     pool.answers = static_cast<Answers>(f.Choice("answers", {"plain", "platform"}).value_or(0));
+    pool.strict = f.Choice("drain", {"static", "strict"}).value_or(0) == 1;
     Settings& s = pool.settings;
     s.max_attempts = static_cast<int>(f.Whole("attempts", 1, 16).value_or(3));
     s.most_out = static_cast<int>(in_flight);
--- a/src/config/services.hpp
+++ b/src/config/services.hpp
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "config/control.hpp"
 #include "limits/pool_gate.hpp"
 #include "membership/host_list.hpp"
 #include "opalswitch/policy.hpp"
@@ -80,6 +81,7 @@
   std::uint64_t request_body = 0, answer_body = 0;
   Millis dial_timeout = 0, idle_timeout = 0;
   Answers answers = Answers::kPlain;
+  bool strict = false;  // proxies that forkwick-control can't tell of a drain stop using the pool
   std::string
       definition;  // all but the static hosts, as one text: pools with equal ones are kept at a reload
 };
@@ -103,6 +105,7 @@
   bool watch = false;       // follow changes of the file itself
   std::string health_path;  // by which GET asks whether the gateway is ready; empty = none
   RequestHeaders headers;
+  Control control;
   std::vector<Listener> listeners;
   std::vector<ServiceClass> classes;
   std::vector<Tenant> tenants;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -62,6 +62,7 @@
 constexpr double kHeldPart = 0.5;       // part of both where connections stay open: full tables cost capacity
 constexpr double kCrossing = 1.3;       // cost of a server in another zone, times its own: crossing is priced
 constexpr double kPooled = 2;           // samples that the latency of a server's kind counts for
+constexpr double kMostSpread = 4;       // times by which latency alone raises or lowers a server's share
 constexpr double kColdShare = 0.4;      // part of the multiple that fells a cold server which it is sent
 constexpr Millis kLeastRetryAfter = 10;  // ms; "at once" would be no advice
 constexpr Millis kAskGap = 100;          // ms before a failed list call is made again; doubles
@@ -100,6 +101,25 @@
     Release();
   }
 
+  // The same preference as shares, for proxies that are told them now and then: within kMostSpread, as two
+  // samples would not leave a slow server without any either.
+  std::vector<Verdict> Verdicts() const {
+    std::vector<double> known;
+    for (const auto& [id, b] : servers_) {
+      if (b.up && !b.suspect && b.latency > 0) known.push_back(b.latency);
+    }
+    const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+    if (!known.empty()) std::nth_element(known.begin(), middle, known.end());
+    std::vector<Verdict> all;
+    for (const auto& [id, b] : servers_) {
+      if (!b.up) continue;
+      const double faster = b.latency > 0 && !known.empty() ? *middle / b.latency : 1;
+      all.push_back(
+          {id, b.info.weight * Warmth(b) * std::clamp(faster, 1 / kMostSpread, kMostSpread), b.suspect});
+    }
+    return all;
+  }
+
  private:
   // ---- Membership ------------------------------------------------------------------------------
 
@@ -670,4 +690,6 @@
   impl_->Handle(now, event, actions);
 }
 
+std::vector<Verdict> Policy::Verdicts() const { return impl_->Verdicts(); }
+
 }  // namespace opalswitch
--- /dev/null
+++ b/src/xds/control.cpp
@@ -0,0 +1,331 @@
+#include "xds/control.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace opalswitch::xds {
+namespace {
+
+constexpr Millis kLookEvery = 50;        // at weights and failing hosts
+constexpr std::size_t kMostGone = 1000;  // nodes that left a pool while they drained, and are remembered
+
+// Whether what is to be told of an endpoint differs enough from what was.
+bool Differs(const Assigned& was, const Assigned& is, double threshold) {
+  if (was.standing != is.standing || was.zone != is.zone || was.address != is.address || was.port != is.port)
+    return true;
+  const double before = was.weight, after = is.weight;
+  return was.weight != is.weight && std::abs(after - before) >= threshold * before;
+}
+
+}  // namespace
+
+Control::Control(Hub& hub, std::uint64_t seed, std::function<void(const std::string&)> say)
+    : hub_(hub), seed_(seed), say_(std::move(say)) {
+  hub_.SetGrouping([this](const ProxyNode& node) { return GroupOf(node); });
+}
+
+ResourceOptions Control::OptionsOf(Form form) const {
+  ResourceOptions options;
+  options.grpc_clients = form == kGrpc;
+  options.each_endpoint = form == kEach;
+  return options;
+}
+
+const std::string& Control::GroupOf(const ProxyNode& node) const {
+  const auto& groups = services_->control.groups;
+  const auto takes = [](const std::vector<std::string>& patterns, const std::string& name) {
+    return patterns.empty() || std::any_of(patterns.begin(), patterns.end(), [&](const std::string& pattern) {
+             return config::Takes(pattern, name);
+           });
+  };
+  for (const config::ControlGroup& group : groups) {
+    if (takes(group.node_ids, node.id) && takes(group.node_clusters, node.cluster) &&
+        takes(group.zones, node.zone))
+      return group.id;
+  }
+  static const std::string kRest;
+  return kRest;
+}
+
+Control::Outs Control::Configure(std::shared_ptr<const config::Services> services, Millis now) {
+  services_ = std::move(services);
+  std::set<std::string> strict;
+  std::map<std::string, std::unique_ptr<Pool>> pools;
+  for (const config::Pool& from : services_->pools) {
+    if (from.strict) strict.insert(from.id);
+    const auto found = pools_.find(from.id);
+    if (found != pools_.end() && found->second->definition == from.definition) {
+      pools[from.id] = std::move(found->second);
+      continue;
+    }
+    pools[from.id] = std::make_unique<Pool>(from, seed_ + ++made_);
+    pools[from.id]->number = made_;
+    if (found == pools_.end() || !found->second) continue;
+    // Until its membership tells: the hosts that the old pool knew.
+    const gateway::HostList known = nodes_.ViewOf(found->second->number);
+    if (!known.hosts.empty()) Give(from.id, *pools[from.id], known, now);
+  }
+  for (const auto& [id, pool] : pools_) {
+    if (pool) nodes_.Forget(pool->number);
+    if (!pools.contains(id)) out_since_.erase(id);
+  }
+  pools_ = std::move(pools);
+  hub_.SetStrict(std::move(strict));
+  groups_.clear();
+  for (const config::ControlGroup& from : services_->control.groups) {
+    groups_.push_back({from.id,
+                       from.grpc_clients    ? kGrpc
+                       : from.each_endpoint ? kEach
+                                            : kPlain,
+                       {from.pools.begin(), from.pools.end()},
+                       nullptr});
+  }
+  groups_.push_back({});
+  std::array<std::map<std::string, EndpointParts>, kForms> parts;
+  for (auto& [id, pool] : pools_) {
+    pool->told = pool->decider.Endpoints();
+    pool->published = pool->listed;
+  }
+  for (const Group& group : groups_) {
+    auto& of_form = parts[group.form];
+    if (!of_form.empty()) continue;
+    for (const auto& [id, pool] : pools_) {
+      of_form[id] = pool->listed
+                        ? BuildEndpoints(id, pool->told, OptionsOf(group.form), parts_[group.form][id])
+                        : UnknownEndpoints(id, OptionsOf(group.form));
+    }
+  }
+  parts_ = std::move(parts);
+  std::set<std::string> ids;
+  for (const Group& group : groups_) ids.insert(group.id);
+  hub_.Regroup(ids);
+  Outs out;
+  for (std::size_t i = 0; i < groups_.size(); ++i) {
+    Group& group = groups_[i];
+    ResourceOptions options = OptionsOf(group.form);
+    options.pools = group.pools;
+    if (i < services_->control.groups.size()) {
+      const auto& listeners = services_->control.groups[i].listeners;
+      options.listeners = {listeners.begin(), listeners.end()};
+    }
+    auto all = BuildRouting(*services_, options);
+    for (const auto& [id, of_pool] : parts_[group.form]) {
+      if (!group.pools.empty() && !group.pools.contains(id)) continue;
+      all[static_cast<std::size_t>(Type::kEndpoint)][id] = of_pool.list;
+      all[static_cast<std::size_t>(Type::kMember)].insert(of_pool.members.begin(), of_pool.members.end());
+    }
+    group.told = std::make_shared<const Snapshot>(std::move(all));
+    Outs more = hub_.Publish(group.id, group.told, /*urgent=*/true, now);
+    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+  }
+  out_since_.clear();
+  for (const auto& [id, pool] : pools_) NoteOut(id, *pool);
+  return out;
+}
+
+void Control::Give(const std::string& id, Pool& pool, const gateway::HostList& list, Millis now) {
+  gateway::HostList own = list;
+  for (gateway::Host& host : own.hosts) {
+    if (drained_.contains(host.server.id) && host.server.state == ServerState::kUp)
+      host.server.state = ServerState::kDraining;
+  }
+  pool.decider.Told(own, now);
+  pool.listed = true;
+  for (const std::string& line : pool.decider.log()) say_("pool " + id + ": " + line);
+  pool.decider.ClearLog();
+}
+
+void Control::Give(const std::vector<gateway::NodeRegistry::News>& news, Millis now) {
+  for (const gateway::NodeRegistry::News& item : news) {
+    for (auto& [id, pool] : pools_) {
+      if (pool->number == item.pool) Give(id, *pool, item.list, now);
+    }
+  }
+}
+
+Control::Outs Control::Told(const std::string& id, const gateway::HostList& list, Millis now) {
+  Outs out;
+  const auto found = pools_.find(id);
+  if (found == pools_.end()) return out;
+  const auto news = nodes_.Told(found->second->number, list, now);
+  Give(news, now);
+  for (auto& [name, pool] : pools_) {
+    const bool reached =
+        std::any_of(news.begin(), news.end(), [&](const auto& item) { return item.pool == pool->number; });
+    if (!reached) continue;
+    Outs more = Publish(name, *pool, now);
+    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+  }
+  return out;
+}
+
+void Control::Heard(const ProxyNode& proxy, const std::vector<LoadReport>& reports, Millis now) {
+  for (const LoadReport& report : reports) {
+    const auto found = pools_.find(report.pool);
+    if (found == pools_.end()) continue;
+    ++reports_;
+    found->second->decider.Heard(proxy.id, report, now);
+  }
+}
+
+Control::Outs Control::Tick(Millis now) {
+  Outs out;
+  const bool look = now - looked_at_ >= kLookEvery;
+  if (look) looked_at_ = now;
+  for (auto& [id, pool] : pools_) {
+    pool->decider.Tick(now);
+    for (const std::string& line : pool->decider.log()) say_("pool " + id + ": " + line);
+    pool->decider.ClearLog();
+    if (!look) continue;
+    Outs more = Publish(id, *pool, now);
+    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+  }
+  return out;
+}
+
+Control::Outs Control::Publish(const std::string& id, Pool& pool, Millis now) {
+  if (!pool.listed) return {};  // an empty list would have proxies let go of what they have
+  std::vector<Assigned> next = pool.decider.Endpoints();
+  std::map<std::string, const Assigned*> was;
+  for (const Assigned& endpoint : pool.told) was[endpoint.id] = &endpoint;
+  bool urgent = false;
+  std::size_t changed = 0, stayed = 0;
+  for (Assigned& endpoint : next) {
+    const auto found = was.find(endpoint.id);
+    if (found == was.end()) {
+      ++changed;
+      continue;
+    }
+    ++stayed;
+    const Assigned& before = *found->second;
+    if (!Differs(before, endpoint, services_->control.threshold)) {
+      endpoint = before;
+      continue;
+    }
+    ++changed;
+    urgent = urgent || (before.standing != Standing::kDraining && endpoint.standing == Standing::kDraining) ||
+             before.address != endpoint.address || before.port != endpoint.port;
+  }
+  urgent = urgent || stayed < pool.told.size();
+  urgent = urgent || !std::exchange(pool.published, true);  // proxies have waited for it
+  if (changed == 0 && !urgent) return {};
+  pool.told = std::move(next);
+  std::array<Snapshot::Changes, kForms> changes;
+  for (std::size_t form = 0; form < kForms; ++form) {
+    if (parts_[form].empty()) continue;
+    EndpointParts& before = parts_[form][id];
+    EndpointParts after = BuildEndpoints(id, pool.told, OptionsOf(static_cast<Form>(form)), before);
+    auto& lists = changes[form][static_cast<std::size_t>(Type::kEndpoint)];
+    auto& members = changes[form][static_cast<std::size_t>(Type::kMember)];
+    if (after.list != before.list) lists[id] = after.list;
+    for (const auto& [name, member] : after.members) {
+      const auto found = before.members.find(name);
+      if (found == before.members.end() || found->second != member) members[name] = member;
+    }
+    for (const auto& [name, member] : before.members) {
+      if (!after.members.contains(name)) members[name] = nullptr;
+    }
+    before = std::move(after);
+  }
+  Outs out;
+  for (Group& group : groups_) {
+    if (!group.pools.empty() && !group.pools.contains(id)) continue;
+    group.told = group.told->With(changes[group.form]);
+    Outs more = hub_.Publish(group.id, group.told, urgent, now);
+    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+  }
+  NoteOut(id, pool);
+  return out;
+}
+
+void Control::NoteOut(const std::string& id, const Pool& pool) {
+  auto& since = out_since_[id];
+  std::set<std::string> there;
+  for (const Assigned& endpoint : pool.told) {
+    there.insert(endpoint.id);
+    if (endpoint.standing != Standing::kDraining) {
+      since.erase(endpoint.id);
+      continue;
+    }
+    auto& needs = since[endpoint.id];
+    if (!needs.empty()) continue;  // it drains since an earlier list
+    for (const Group& group : groups_) {
+      if (!group.pools.empty() && !group.pools.contains(id)) continue;
+      const EndpointParts& parts = parts_[group.form].at(id);
+      if (group.form != kEach) {
+        needs.push_back({group.id, Type::kEndpoint, id, parts.list->serial});
+        continue;
+      }
+      // The list leads to members, and does not change with them.
+      const std::string name = MemberName(id, endpoint);
+      const auto member = parts.members.find(name);
+      if (member != parts.members.end())
+        needs.push_back({group.id, Type::kMember, name, member->second->serial});
+    }
+  }
+  // Of a node that has left, drained or not, the lists without it count; few are remembered.
+  for (const auto& [node, needs] : since) {
+    if (there.contains(node)) continue;
+    if (since.size() > there.size() + kMostGone) {
+      since.erase(node);
+      break;
+    }
+  }
+}
+
+Control::Outs Control::Drain(const std::string& node, Millis now) {
+  drained_.insert(node);
+  Outs out;
+  for (auto& [id, pool] : pools_) {
+    gateway::HostList view = nodes_.ViewOf(pool->number);
+    const bool has = std::any_of(view.hosts.begin(), view.hosts.end(),
+                                 [&](const gateway::Host& host) { return host.server.id == node; });
+    if (!has) continue;
+    Give(id, *pool, view, now);
+    Outs more = Publish(id, *pool, now);
+    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+  }
+  return out;
+}
+
+Control::Outs Control::Undrain(const std::string& node, Millis now) {
+  if (drained_.erase(node) == 0) return {};
+  Outs out;
+  for (auto& [id, pool] : pools_) {
+    const gateway::HostList view = nodes_.ViewOf(pool->number);
+    if (view.hosts.empty()) continue;
+    Give(id, *pool, view, now);
+    Outs more = Publish(id, *pool, now);
+    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+  }
+  return out;
+}
+
+bool Control::Knows(const std::string& node) const { return !nodes_.PoolsOf(node).empty(); }
+
+std::vector<Hub::Waiting> Control::WaitingFor(const std::string& node, Millis now) const {
+  std::map<std::string, Millis> all;
+  for (const auto& [pool, nodes] : out_since_) {
+    const auto needs = nodes.find(node);
+    if (needs == nodes.end()) continue;
+    for (const Hub::Waiting& waiting : hub_.WaitingFor(pool, needs->second, now)) {
+      Millis& until = all[waiting.proxy];
+      until = std::max(until, waiting.until);
+    }
+  }
+  std::vector<Hub::Waiting> list;
+  for (const auto& [proxy, until] : all) list.push_back({proxy, until});
+  return list;
+}
+
+std::vector<Control::PoolStatus> Control::Status(Millis now) const {
+  std::vector<PoolStatus> all;
+  for (const config::Pool& pool : services_->pools) {
+    all.push_back({pool.id, pool.strict, pools_.at(pool.id)->decider.Status(now)});
+  }
+  return all;
+}
+
+}  // namespace opalswitch::xds
--- a/src/xds/hub.cpp
+++ b/src/xds/hub.cpp
@@ -46,6 +46,24 @@
   }
 }
 
+void Hub::SetStrict(std::set<std::string> pools) {
+  for (auto& [id, stream] : streams_) {
+    for (const auto* const set : {&pools, &strict_}) {
+      for (const std::string& pool : *set) {
+        if (pools.contains(pool) != strict_.contains(pool)) stream.session.Again(Type::kEndpoint, pool);
+      }
+    }
+  }
+  strict_ = std::move(pools);
+}
+
+void Hub::Regroup(const std::set<std::string>& ids) {
+  for (auto& [id, stream] : streams_) {
+    if (stream.known && grouping_) stream.group = grouping_(stream.node);
+  }
+  std::erase_if(groups_, [&](const auto& entry) { return !ids.contains(entry.first); });
+}
+
 std::vector<Hub::Out> Hub::Publish(const std::string& group, std::shared_ptr<const Snapshot> snapshot,
                                    bool urgent, Millis now) {
   std::vector<Out> out;
@@ -75,9 +93,25 @@
   const auto group = groups_.find(stream.group);
   static const Snapshot kNothing{std::array<Resources, kTypes>()};
   const std::uint64_t answered = stream.session.acks() + stream.session.nacks();
-  const auto wrong = stream.session.Take(request, group == groups_.end() ? kNothing : *group->second.told);
+  std::optional<Request> without;
+  if (request.type == Type::kEndpoint && !request.initial_versions.empty() && !strict_.empty()) {
+    without = request;
+    std::erase_if(without->initial_versions,
+                  [&](const auto& entry) { return strict_.contains(entry.first); });
+  }
+  const auto wrong = stream.session.Take(without ? *without : request,
+                                         group == groups_.end() ? kNothing : *group->second.told);
   if (wrong) return End(id, *wrong, now, out), out;
-  if (stream.session.acks() + stream.session.nacks() != answered) stream.owing_since.reset();
+  if (stream.session.acks() + stream.session.nacks() != answered) {
+    stream.owing_since.reset();
+    // A proxy that came back goes by what it has accepted now, no longer by what it had when it was lost.
+    for (Lost& lost : lost_) {
+      if (lost.proxy != stream.node.id) continue;
+      std::erase_if(lost.leases, [&](const auto& entry) {
+        return stream.session.Accepted(Type::kEndpoint, entry.first) != nullptr;
+      });
+    }
+  }
   Push(id, stream, now, out);
   return out;
 }
@@ -99,16 +133,21 @@
   past_.stale += stream.session.stale();
   Lost lost;
   lost.proxy = stream.node.id;
+  lost.group = stream.group;
   for (const auto& [pool, until] : stream.leases) {
-    // What it has accepted, or may have: an answer on its way when the stream broke counts for neither.
-    if (until > now) lost.held[pool] = {stream.session.Accepted(Type::kEndpoint, pool), until};
+    if (until > now) lost.leases[pool] = until;
   }
+  lost.endpoints = stream.session.OldestOfAll(Type::kEndpoint);
+  lost.members = stream.session.OldestOfAll(Type::kMember);
   streams_.erase(found);
   std::erase_if(lost_, [&](const Lost& other) {
-    return std::all_of(other.held.begin(), other.held.end(),
-                       [&](const auto& entry) { return entry.second.second <= now; });
+    return std::all_of(other.leases.begin(), other.leases.end(),
+                       [&](const auto& entry) { return entry.second <= now; });
   });
-  if (!lost.held.empty() && lost_.size() < kMostLost) lost_.push_back(std::move(lost));
+  if (lost.leases.empty()) return;
+  if (lost_.size() >= kMostLost)
+    lost_.erase(lost_.begin());  // the oldest is the least likely to be there still
+  lost_.push_back(std::move(lost));
 }
 
 std::vector<Hub::Out> Hub::Tick(Millis now) {
@@ -131,14 +170,27 @@
     Out beat;
     beat.stream = id;
     beat.heartbeat = true;
+    std::vector<std::string> over;
+    const bool answered = stream.session.Answered(Type::kEndpoint) && stream.session.Answered(Type::kMember);
     for (auto& [pool, until] : stream.leases) {
-      if (until == kForEver || until <= now) continue;
+      if (until == kForEver) continue;
+      if (until <= now) {  // it has let go of the list: once it listens again, it is told again
+        if (answered) over.push_back(pool);
+        continue;
+      }
+      // Members of the list that are not acknowledged yet: a drain may be among them.
+      if (!stream.session.Answered(Type::kMember)) continue;
       // Only what the proxy holds for certain, and is the newest that it was told: a lease on a list from
       // before a drain must run out. A change that waits for its like (weights) was not told yet, and is no
       // reason to.
       if (!stream.session.Settled(Type::kEndpoint, pool)) continue;
       beat.leased.push_back(pool);
     }
+    for (const std::string& pool : over) {
+      stream.leases.erase(pool);
+      stream.session.Again(Type::kEndpoint, pool);
+    }
+    if (!over.empty()) Push(id, stream, now, out);
     if (beat.leased.empty()) continue;
     auto response = stream.session.Heartbeat(Type::kEndpoint);
     if (!response) continue;
@@ -151,20 +203,31 @@
   return out;
 }
 
-std::vector<Hub::Waiting> Hub::WaitingFor(const std::string& pool, const std::string& version,
+std::vector<Hub::Waiting> Hub::WaitingFor(const std::string& pool, const std::vector<Need>& needs,
                                           Millis now) const {
   std::vector<Waiting> waiting;
+  const auto look = [&](const std::string& proxy, const std::string& group, const auto& leases, auto oldest) {
+    const auto lease = leases.find(pool);
+    if (lease == leases.end() || lease->second <= now) return;
+    for (const Need& need : needs) {
+      if (need.group != group) continue;
+      const ResourcePtr may_use = oldest(need.type, need.name);
+      if (!may_use || may_use->serial >= need.serial) continue;
+      waiting.push_back({proxy, lease->second});
+      return;
+    }
+  };
   for (const auto& [id, stream] : streams_) {
-    const auto lease = stream.leases.find(pool);
-    if (lease == stream.leases.end() || lease->second <= now) continue;
-    if (stream.session.Accepted(Type::kEndpoint, pool) != version)
-      waiting.push_back({stream.node.id, lease->second});
+    look(stream.node.id, stream.group, stream.leases,
+         [&](Type type, const std::string& name) { return stream.session.Oldest(type, name); });
   }
   for (const Lost& lost : lost_) {
-    const auto held = lost.held.find(pool);
-    if (held == lost.held.end() || held->second.second <= now || held->second.first == version) continue;
-    waiting.push_back({lost.proxy, held->second.second});
+    look(lost.proxy, lost.group, lost.leases, [&](Type type, const std::string& name) {
+      return (type == Type::kMember ? lost.members : lost.endpoints).Find(name);
+    });
   }
+  if (strict_.contains(pool) && now < begun_ + options_.lease)
+    waiting.push_back({"(leases of an earlier run)", begun_ + options_.lease});
   return waiting;
 }
 
@@ -182,7 +245,14 @@
 std::vector<Hub::ProxyStatus> Hub::proxies() const {
   std::vector<ProxyStatus> all;
   for (const auto& [id, stream] : streams_) {
-    all.push_back({stream.node, stream.group, stream.session.last_rejection(), stream.session.nacks()});
+    ProxyStatus status{stream.node,           stream.group, true, kForEver, stream.session.last_rejection(),
+                       stream.session.nacks()};
+    for (std::size_t i = 0; i < kTypes; ++i) {
+      status.settled = status.settled && stream.session.Answered(static_cast<Type>(i));
+    }
+    for (const auto& [pool, until] : stream.leases)
+      status.leased_until = std::min(status.leased_until, until);
+    all.push_back(std::move(status));
   }
   return all;
 }
--- a/src/xds/hub.hpp
+++ b/src/xds/hub.hpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "opalswitch/policy.hpp"
+#include "xds/holding.hpp"
 #include "xds/session.hpp"
 #include "xds/snapshot.hpp"
 
@@ -49,15 +50,27 @@
   };
   // A proxy that may still go by an older list.
   struct Waiting {
-    std::string proxy;
-    Millis until = 0;  // its lease runs out then; infinite for a pool that is not strict
+    std::string proxy;  // its node id
+    Millis until = 0;   // its lease runs out then; infinite for a pool that is not strict
+  };
+  // What a proxy of a group must hold, at that serial or a later one, or not at all.
+  struct Need {
+    std::string group;
+    Type type = Type::kEndpoint;
+    std::string name;
+    std::uint64_t serial = 0;
   };
 
-  explicit Hub(const HubOptions& options) : options_(options) {}
+  // `begun`: leases that an earlier process has given may run for one lease from then on.
+  explicit Hub(const HubOptions& options, Millis begun = 0) : options_(options), begun_(begun) {}
 
   // Chooses what a proxy sees: the name of one of the groups. Asked once a stream.
   void SetGrouping(std::function<std::string(const ProxyNode&)> grouping) { grouping_ = std::move(grouping); }
-  void SetStrict(std::set<std::string> pools) { strict_ = std::move(pools); }
+  // Proxies are told again, with the next snapshot, of pools that become strict or cease to be.
+  void SetStrict(std::set<std::string> pools);
+  // Asks again of which group each proxy is; other groups than `ids` are no more. Proxies are told with what
+  // is published next.
+  void Regroup(const std::set<std::string>& ids);
   // Replaces a group's snapshot. Urgent: proxies are told at once (drains and removals, and anything before
   // the first).
   std::vector<Out> Publish(const std::string& group, std::shared_ptr<const Snapshot> snapshot, bool urgent,
@@ -65,16 +78,17 @@
 
   // False if there are too many streams.
   bool Open(StreamId stream, Session::Form form, Millis now);
-  // The first request of a stream says who asks.
+  // The first request of a stream says who asks. A proxy that says it has a strict pool's list already is
+  // sent it again all the same: whether its lease still runs when the answer arrives, nobody knows.
   std::vector<Out> Take(StreamId stream, const ProxyNode& node, const Request& request, Millis now);
   void Closed(StreamId stream, Millis now);
 
   // What is due by now: heartbeats, and changes that have waited for their like.
   std::vector<Out> Tick(Millis now);
 
-  // Proxies that may still use a list of this pool which is older than `version`: not acknowledged, or lost
-  // with a lease that runs.
-  std::vector<Waiting> WaitingFor(const std::string& pool, const std::string& version, Millis now) const;
+  // Proxies that may still go by an older list of this pool than they need to: not acknowledged, or lost with
+  // a lease that runs. Needs of groups that a proxy is not of do not matter.
+  std::vector<Waiting> WaitingFor(const std::string& pool, const std::vector<Need>& needs, Millis now) const;
 
   struct Figures {
     std::uint64_t streams = 0, acks = 0, nacks = 0, stale = 0, pushes = 0, refused = 0;
@@ -83,6 +97,8 @@
   struct ProxyStatus {
     ProxyNode node;
     std::string group;
+    bool settled = true;      // it has answered all that it was sent
+    Millis leased_until = 0;  // the first of its leases that runs out; infinite if it has none
     std::optional<Rejection> rejection;
     std::uint64_t nacks = 0;
   };
@@ -107,7 +123,9 @@
   // A proxy whose stream broke: it may use what it has for a while.
   struct Lost {
     std::string proxy;
-    std::map<std::string, std::pair<std::string, Millis>> held;  // by pool: version, and until when
+    std::string group;
+    std::map<std::string, Millis> leases;  // by pool
+    Holding endpoints, members;            // that it may go by
   };
 
   void Push(StreamId id, Stream& stream, Millis now, std::vector<Out>& out);
@@ -115,6 +133,7 @@
   void End(StreamId id, std::string why, Millis now, std::vector<Out>& out);
 
   const HubOptions options_;
+  const Millis begun_;
   std::function<std::string(const ProxyNode&)> grouping_;
   std::set<std::string> strict_;
   std::map<std::string, Group> groups_;
--- /dev/null
+++ b/src/xds/operators.cpp
@@ -0,0 +1,329 @@
+#include "xds/operators.hpp"
+
+#include <grpcpp/grpcpp.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "forkwick/control/v1/control.grpc.pb.h"
+
+namespace opalswitch::xds {
+namespace {
+
+namespace api = forkwick::control::v1;
+
+constexpr auto kLookEvery = std::chrono::milliseconds(5);  // whether a drain still waits
+constexpr int kMostCalls = 16;                             // of operators at once
+
+enum Exit { kDone = 0, kFailed = 1, kStillWaiting = 4 };
+
+const char* TextOf(Standing standing) {
+  return standing == Standing::kUp ? "up" : standing == Standing::kOut ? "out" : "draining";
+}
+
+const char* ShortName(Type type) {
+  constexpr const char* kNames[] = {"CDS", "EDS", "LEDS", "LDS", "RDS"};
+  return kNames[static_cast<std::size_t>(type)];
+}
+
+std::string TextOf(const Rejection& rejection) {
+  std::string text = ShortName(rejection.type);
+  for (const std::string& name : rejection.names) text += " " + name;
+  return text + ": " + rejection.reason;
+}
+
+}  // namespace
+
+class Operators::Impl : public api::Operators::Service {
+ public:
+  Impl(const std::string& socket, Server& server, const std::unique_ptr<Control>& control,
+       std::function<void(const std::set<std::string>&)> drains)
+      : path_(socket), server_(server), control_(control), drains_(std::move(drains)) {
+    grpc::ServerBuilder builder;
+    grpc::ResourceQuota quota;
+    quota.SetMaxThreads(kMostCalls + 4);
+    builder.SetResourceQuota(quota);
+    builder.SetSyncServerOption(grpc::ServerBuilder::SyncServerOption::MAX_POLLERS, 2);
+    builder.AddListeningPort("unix:" + socket, grpc::InsecureServerCredentials());
+    builder.RegisterService(this);
+    unlink(socket.c_str());  // of a run that did not end well
+    const mode_t before = umask(0177);
+    grpc_ = builder.BuildAndStart();
+    umask(before);
+    if (!grpc_ || access(socket.c_str(), F_OK) != 0)
+      throw std::runtime_error(socket + ": can't be made as a socket");
+  }
+  ~Impl() override {
+    ending_ = true;
+    grpc_->Shutdown(std::chrono::system_clock::now());
+    unlink(path_.c_str());
+  }
+
+  grpc::Status Status(grpc::ServerContext*, const api::StatusRequest*, api::StatusReply* reply) override {
+    server_.With([&](Hub& hub, Millis now) {
+      const auto figures = hub.figures();
+      reply->set_pushes(figures.pushes);
+      reply->set_acks(figures.acks);
+      reply->set_nacks(figures.nacks);
+      reply->set_stale_nonces(figures.stale);
+      reply->set_refused_streams(figures.refused);
+      for (const Hub::ProxyStatus& proxy : hub.proxies()) {
+        auto* const to = reply->add_proxies();
+        to->set_id(proxy.node.id);
+        to->set_cluster(proxy.node.cluster);
+        to->set_zone(proxy.node.zone);
+        to->set_group(proxy.group);
+        to->set_settled(proxy.settled);
+        to->set_nacks(proxy.nacks);
+        if (proxy.rejection) to->set_last_rejection(TextOf(*proxy.rejection));
+      }
+      if (!control_) return Control::Outs();
+      reply->set_load_reports(control_->reports());
+      for (const std::string& node : control_->drained()) reply->add_drained(node);
+      for (const Control::PoolStatus& pool : control_->Status(now)) {
+        auto* const to = reply->add_pools();
+        to->set_id(pool.id);
+        to->set_strict(pool.strict);
+        for (const Decider::HostStatus& host : pool.hosts) {
+          auto* const one = to->add_hosts();
+          one->set_id(host.id);
+          one->set_address(host.address);
+          one->set_standing(TextOf(host.standing));
+          one->set_weight(host.weight);
+          one->set_trial(host.trial);
+          one->set_failing(host.failing);
+          one->set_reporters(static_cast<std::uint32_t>(host.proxies));
+        }
+      }
+      return Control::Outs();
+    });
+    return grpc::Status::OK;
+  }
+
+  grpc::Status Drain(grpc::ServerContext* context, const api::DrainRequest* request,
+                     grpc::ServerWriter<api::DrainReply>* writer) override {
+    if (calls_.fetch_add(1) >= kMostCalls) {
+      --calls_;
+      return {grpc::StatusCode::RESOURCE_EXHAUSTED, "too many drains are waited for at once"};
+    }
+    const auto end = Wait(context, *request, writer);
+    --calls_;
+    return end;
+  }
+
+  grpc::Status Undrain(grpc::ServerContext*, const api::UndrainRequest* request,
+                       api::UndrainReply*) override {
+    bool known = false;
+    server_.With([&](Hub&, Millis now) {
+      known = control_ && control_->drained().contains(request->node());
+      if (!known) return Control::Outs();
+      auto out = control_->Undrain(request->node(), now);
+      drains_(control_->drained());
+      return out;
+    });
+    if (known) return grpc::Status::OK;
+    return {grpc::StatusCode::NOT_FOUND, "no operator has drained '" + request->node() + "'"};
+  }
+
+ private:
+  grpc::Status Wait(grpc::ServerContext* context, const api::DrainRequest& request,
+                    grpc::ServerWriter<api::DrainReply>* writer) {
+    bool known = false;
+    Millis begun = 0;
+    server_.With([&](Hub&, Millis now) {
+      begun = now;
+      known = control_ && control_->Knows(request.node());
+      if (!known) return Control::Outs();
+      auto out = control_->Drain(request.node(), now);
+      drains_(control_->drained());
+      return out;
+    });
+    if (!known) return {grpc::StatusCode::NOT_FOUND, "no pool has a host '" + request.node() + "'"};
+    std::set<std::string> named;
+    for (bool first = true;; first = false) {
+      api::DrainReply reply;
+      server_.With([&](Hub&, Millis now) {
+        reply.set_after_ms(now - begun);
+        for (const Hub::Waiting& waiting : control_->WaitingFor(request.node(), now)) {
+          auto* const to = reply.add_waiting();
+          to->set_proxy(waiting.proxy);
+          to->set_lease_ms(std::isfinite(waiting.until) ? waiting.until - now : -1);
+        }
+        return Control::Outs();
+      });
+      std::set<std::string> names;
+      for (const auto& waiting : reply.waiting()) names.insert(waiting.proxy());
+      if (first || names != named) {
+        if (!writer->Write(reply)) return grpc::Status::CANCELLED;
+      }
+      named = std::move(names);
+      if (named.empty() || !request.wait()) return grpc::Status::OK;
+      if (ending_) return {grpc::StatusCode::UNAVAILABLE, "the control service ends"};
+      if (context->IsCancelled()) return grpc::Status::CANCELLED;
+      std::this_thread::sleep_for(kLookEvery);
+    }
+  }
+
+  const std::string path_;
+  Server& server_;
+  const std::unique_ptr<Control>& control_;
+  const std::function<void(const std::set<std::string>&)> drains_;
+  std::atomic<int> calls_{0};
+  std::atomic<bool> ending_{false};
+  std::unique_ptr<grpc::Server> grpc_;
+};
+
+Operators::Operators(const std::string& socket, Server& server, const std::unique_ptr<Control>& control,
+                     std::function<void(const std::set<std::string>&)> drains)
+    : impl_(std::make_unique<Impl>(socket, server, control, std::move(drains))) {}
+Operators::~Operators() = default;
+
+namespace {
+
+std::unique_ptr<api::Operators::Stub> Reach(const std::string& socket) {
+  return api::Operators::NewStub(grpc::CreateChannel("unix:" + socket, grpc::InsecureChannelCredentials()));
+}
+
+int Failed(const std::string& socket, const grpc::Status& status) {
+  if (status.error_code() == grpc::StatusCode::UNAVAILABLE) {
+    std::fprintf(stderr, "forkwick-control: %s: nobody answers (%s)\n", socket.c_str(),
+                 status.error_message().c_str());
+  } else {
+    std::fprintf(stderr, "forkwick-control: %s\n", status.error_message().c_str());
+  }
+  return kFailed;
+}
+
+nlohmann::json ToJson(const api::StatusReply& reply) {
+  nlohmann::json out = {{"pushes", reply.pushes()},
+                        {"acks", reply.acks()},
+                        {"nacks", reply.nacks()},
+                        {"stale_nonces", reply.stale_nonces()},
+                        {"refused_streams", reply.refused_streams()},
+                        {"load_reports", reply.load_reports()},
+                        {"drained", std::vector<std::string>(reply.drained().begin(), reply.drained().end())},
+                        {"pools", nlohmann::json::array()},
+                        {"proxies", nlohmann::json::array()}};
+  for (const auto& pool : reply.pools()) {
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const auto& host : pool.hosts()) {
+      hosts.push_back({{"id", host.id()},
+                       {"address", host.address()},
+                       {"standing", host.standing()},
+                       {"weight", host.weight()},
+                       {"trial", host.trial()},
+                       {"failing", host.failing()},
+                       {"reporters", host.reporters()}});
+    }
+    out["pools"].push_back({{"id", pool.id()}, {"strict", pool.strict()}, {"hosts", std::move(hosts)}});
+  }
+  for (const auto& proxy : reply.proxies()) {
+    out["proxies"].push_back({{"id", proxy.id()},
+                              {"cluster", proxy.cluster()},
+                              {"zone", proxy.zone()},
+                              {"group", proxy.group()},
+                              {"settled", proxy.settled()},
+                              {"nacks", proxy.nacks()},
+                              {"last_rejection", proxy.last_rejection()}});
+  }
+  return out;
+}
+
+}  // namespace
+
+int ShowStatus(const std::string& socket, bool json) {
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(10));
+  api::StatusReply reply;
+  const grpc::Status status = Reach(socket)->Status(&context, {}, &reply);
+  if (!status.ok()) return Failed(socket, status);
+  if (json) return std::printf("%s\n", ToJson(reply).dump(2).c_str()), kDone;
+  for (const auto& pool : reply.pools()) {
+    std::printf("pool %s (%s)\n", pool.id().c_str(), pool.strict() ? "strict" : "static");
+    for (const auto& host : pool.hosts()) {
+      std::printf("  %-24s %-21s %-8s weight %u%s", host.id().c_str(), host.address().c_str(),
+                  host.standing().c_str(), host.weight(), host.trial() ? ", on trial" : "");
+      if (host.reporters() > 0) {
+        std::printf(", failing %.0f%% as %u proxies say", 100 * host.failing(), host.reporters());
+      }
+      std::printf("\n");
+    }
+  }
+  for (const auto& proxy : reply.proxies()) {
+    std::printf("proxy %s (cluster %s, zone %s, group %s): %s, %llu rejections%s%s\n", proxy.id().c_str(),
+                proxy.cluster().c_str(), proxy.zone().c_str(),
+                proxy.group().empty() ? "of the rest" : proxy.group().c_str(),
+                proxy.settled() ? "up to date" : "has not answered",
+                static_cast<unsigned long long>(proxy.nacks()),
+                proxy.last_rejection().empty() ? "" : ", last ", proxy.last_rejection().c_str());
+  }
+  for (const std::string& node : reply.drained()) std::printf("drained by an operator: %s\n", node.c_str());
+  std::printf(
+      "%llu pushes, %llu accepted, %llu rejected, %llu stale nonces, %llu streams refused, %llu load "
+      "reports\n",
+      static_cast<unsigned long long>(reply.pushes()), static_cast<unsigned long long>(reply.acks()),
+      static_cast<unsigned long long>(reply.nacks()), static_cast<unsigned long long>(reply.stale_nonces()),
+      static_cast<unsigned long long>(reply.refused_streams()),
+      static_cast<unsigned long long>(reply.load_reports()));
+  return kDone;
+}
+
+int DrainNode(const std::string& socket, const std::string& node, bool wait, Millis most) {
+  grpc::ClientContext context;
+  if (most > 0) {
+    context.set_deadline(std::chrono::system_clock::now() +
+                         std::chrono::microseconds(static_cast<std::int64_t>(most * 1000)));
+  }
+  api::DrainRequest request;
+  request.set_node(node);
+  request.set_wait(wait);
+  const auto stub = Reach(socket);
+  const auto reader = stub->Drain(&context, request);
+  api::DrainReply reply;
+  bool told = false;
+  while (reader->Read(&reply)) {
+    told = true;
+    if (reply.waiting().empty()) {
+      std::printf("%s is drained: no proxy sends to it any more, %.0f ms after it was told\n", node.c_str(),
+                  reply.after_ms());
+    }
+    for (const auto& waiting : reply.waiting()) {
+      if (waiting.lease_ms() < 0) {
+        std::printf("waits for %s, which has not answered\n", waiting.proxy().c_str());
+      } else {
+        std::printf("waits for %s, whose lease runs out in %.0f ms\n", waiting.proxy().c_str(),
+                    waiting.lease_ms());
+      }
+    }
+    std::fflush(stdout);
+  }
+  const grpc::Status status = reader->Finish();
+  if (status.ok()) return kDone;
+  if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED && told) {
+    std::printf("still waiting; the drain holds\n");
+    return kStillWaiting;
+  }
+  return Failed(socket, status);
+}
+
+int UndrainNode(const std::string& socket, const std::string& node) {
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(10));
+  api::UndrainRequest request;
+  request.set_node(node);
+  api::UndrainReply reply;
+  const grpc::Status status = Reach(socket)->Undrain(&context, request, &reply);
+  if (!status.ok()) return Failed(socket, status);
+  std::printf("%s is no longer drained\n", node.c_str());
+  return kDone;
+}
+
+}  // namespace opalswitch::xds
--- a/src/xds/resources.cpp
+++ b/src/xds/resources.cpp
@@ -4,6 +4,7 @@
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 #include "envoy/config/cluster/v3/cluster.pb.h"
@@ -42,14 +43,9 @@
   source->set_resource_api_version(core::V3);
 }
 
-void Put(Resources& resources, std::string name, const google::protobuf::Message& message,
+void Put(Resources& resources, const std::string& name, const google::protobuf::Message& message,
          std::set<std::string> clusters = {}) {
-  auto resource = std::make_shared<Resource>();
-  resource->name = name;
-  resource->bytes = Bytes(message);
-  resource->version = ContentVersion(resource->bytes);
-  resource->clusters = std::move(clusters);
-  resources[std::move(name)] = std::move(resource);
+  resources[name] = MakeResource(name, Bytes(message), std::move(clusters));
 }
 
 void Pack(google::protobuf::Any* any, const google::protobuf::Message& message) {
@@ -102,7 +98,8 @@
 
 // One of the file's routes as the routes of a virtual host: an alternative each for paths, methods and
 // classes.
-void AddRoutes(route::VirtualHost* host, const config::Services& services, const config::RouteRule& rule) {
+void AddRoutes(route::VirtualHost* host, const config::Services& services, const config::RouteRule& rule,
+               bool told) {
   const routing::Route& match = rule.match;
   struct Path {
     bool prefix;
@@ -147,7 +144,12 @@
             header->set_invert_match(condition.kind == routing::HeaderCondition::Kind::kAbsent);
           }
         }
-        SetAction(to, services, rule);
+        if (told) {
+          SetAction(to, services, rule);
+        } else {
+          to->set_name(rule.match.id);
+          to->mutable_direct_response()->set_status(404);
+        }
       }
     }
   }
@@ -155,13 +157,15 @@
 
 std::string RoutesName(const config::Listener& listener) { return "routes/" + listener.id; }
 
-void PutRoutes(Resources& resources, const config::Services& services, const config::Listener& listener) {
+void PutRoutes(Resources& resources, const config::Services& services, const config::Listener& listener,
+               const ResourceOptions& options) {
   std::vector<std::string> domains = {"*"};
   std::vector<const config::RouteRule*> rules;
   for (const config::RouteRule& rule : services.routes) {
     const auto& listeners = rule.match.listeners;
     if (!listeners.empty() && std::find(listeners.begin(), listeners.end(), listener.id) == listeners.end())
       continue;
+    // A route that leads nowhere for these proxies still takes its requests: no later one may get them.
     rules.push_back(&rule);
     for (const std::string& host : rule.match.hosts) {
       if (std::find(domains.begin(), domains.end(), host) == domains.end()) domains.push_back(host);
@@ -178,8 +182,10 @@
     host.add_domains(domain);
     for (const config::RouteRule* const rule : rules) {
       if (!MayTake(rule->match, domain)) continue;
-      AddRoutes(&host, services, *rule);
-      clusters.insert(services.pools[rule->pool].id);
+      const std::string& pool = services.pools[rule->pool].id;
+      const bool told = options.pools.empty() || options.pools.contains(pool);
+      AddRoutes(&host, services, *rule, told);
+      if (told) clusters.insert(pool);
     }
     if (host.routes_size() > 0) *routes.add_virtual_hosts() = std::move(host);
   }
@@ -211,8 +217,59 @@
 
 }  // namespace
 
-ResourcePtr BuildEndpoints(const std::string& pool, const std::vector<Assigned>& endpoints,
-                           const ResourceOptions& options) {
+namespace {
+
+// The resource, or one of before that says the same.
+ResourcePtr Kept(ResourcePtr made, const ResourcePtr& before) {
+  return before && before->version == made->version ? before : made;
+}
+
+// RFC 3986's unreserved characters stay, for a name in a URI.
+std::string UriPart(const std::string& text) {
+  std::string out;
+  for (const char c : text) {
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                       c == '-' || c == '.' || c == '_' || c == '~';
+    char coded[4];
+    std::snprintf(coded, sizeof coded, "%%%02X", static_cast<unsigned char>(c));
+    out += plain ? std::string(1, c) : coded;
+  }
+  return out;
+}
+
+std::string Collections(const std::string& pool) {
+  return "xdstp:///envoy.config.endpoint.v3.LbEndpoint/" + UriPart(pool) + "/";
+}
+
+std::string Collection(const std::string& pool, const std::string& zone) {
+  return Collections(pool) + "zone-" + UriPart(zone) + "/";
+}
+
+void SetMember(envoy::config::endpoint::v3::LbEndpoint* to, const Assigned& endpoint) {
+  auto* const address = to->mutable_endpoint()->mutable_address()->mutable_socket_address();
+  address->set_address(endpoint.address);
+  address->set_port_value(endpoint.port);
+  to->set_health_status(endpoint.standing == Standing::kUp    ? core::HEALTHY
+                        : endpoint.standing == Standing::kOut ? core::UNHEALTHY
+                                                              : core::DRAINING);
+  to->mutable_load_balancing_weight()->set_value(std::max(1u, endpoint.weight));
+}
+
+}  // namespace
+
+EndpointParts UnknownEndpoints(const std::string& pool, const ResourceOptions& options) {
+  EndpointParts parts;
+  parts.list = MakeUnknown(pool);
+  if (options.each_endpoint) parts.members[Collections(pool)] = MakeUnknown(Collections(pool));
+  return parts;
+}
+
+std::string MemberName(const std::string& pool, const Assigned& endpoint) {
+  return Collection(pool, endpoint.zone) + UriPart(endpoint.id);
+}
+
+EndpointParts BuildEndpoints(const std::string& pool, const std::vector<Assigned>& endpoints,
+                             const ResourceOptions& options, const EndpointParts& before) {
   envoy::config::endpoint::v3::ClusterLoadAssignment all;
   all.set_cluster_name(pool);
   if (options.stale_after > 0)
@@ -223,22 +280,30 @@
   for (const Assigned& endpoint : endpoints) {
     places[{endpoint.zone, options.grpc_clients ? endpoint.id : ""}][endpoint.id] = &endpoint;
   }
+  EndpointParts parts;
   for (const auto& [place, members] : places) {
     auto* const locality = all.add_endpoints();
     locality->mutable_locality()->set_zone(place.first);
     locality->mutable_locality()->set_sub_zone(place.second);
+    if (options.each_endpoint) {
+      const std::string collection = Collection(pool, place.first);
+      auto* const leds = locality->mutable_leds_cluster_locality_config();
+      SetAds(leds->mutable_leds_config());
+      leds->set_leds_collection_name(collection + "*");
+      for (const auto& [id, endpoint] : members) {
+        envoy::config::endpoint::v3::LbEndpoint member;
+        SetMember(&member, *endpoint);
+        const std::string name = MemberName(pool, *endpoint);
+        const auto found = before.members.find(name);
+        parts.members[name] =
+            Kept(MakeResource(name, Bytes(member)), found == before.members.end() ? nullptr : found->second);
+      }
+      continue;
+    }
     std::uint64_t sum = 0;
     for (const auto& [id, endpoint] : members) {
-      auto* const to = locality->add_lb_endpoints();
-      auto* const address = to->mutable_endpoint()->mutable_address()->mutable_socket_address();
-      address->set_address(endpoint->address);
-      address->set_port_value(endpoint->port);
-      to->set_health_status(endpoint->standing == Standing::kUp    ? core::HEALTHY
-                            : endpoint->standing == Standing::kOut ? core::UNHEALTHY
-                                                                   : core::DRAINING);
-      const std::uint32_t weight = std::max(1u, endpoint->weight);
-      to->mutable_load_balancing_weight()->set_value(weight);
-      if (endpoint->standing == Standing::kUp) sum += weight;
+      SetMember(locality->add_lb_endpoints(), *endpoint);
+      if (endpoint->standing == Standing::kUp) sum += std::max(1u, endpoint->weight);
     }
     if (options.grpc_clients && sum == 0) {  // else a share of the calls would find nobody there
       all.mutable_endpoints()->RemoveLast();
@@ -247,25 +312,35 @@
     locality->mutable_load_balancing_weight()->set_value(
         static_cast<std::uint32_t>(std::clamp<std::uint64_t>(sum, 1, 0x7fffffff)));
   }
-  Resources one;
-  Put(one, pool, all);
-  return one.begin()->second;
+  parts.list = Kept(MakeResource(pool, Bytes(all)), before.list);
+  return parts;
 }
 
-std::shared_ptr<const Snapshot> BuildSnapshot(const config::Services& services,
-                                              const Assignments& assignments,
-                                              const ResourceOptions& options) {
+std::array<Resources, kTypes> BuildRouting(const config::Services& services, const ResourceOptions& options) {
   std::array<Resources, kTypes> all;
   const auto of = [&](Type type) -> Resources& { return all[static_cast<std::size_t>(type)]; };
   for (const config::Pool& pool : services.pools) {
-    Put(of(Type::kCluster), pool.id, ToCluster(pool, options));
-    const auto found = assignments.find(pool.id);
-    of(Type::kEndpoint)[pool.id] = BuildEndpoints(
-        pool.id, found == assignments.end() ? std::vector<Assigned>() : found->second, options);
+    if (options.pools.empty() || options.pools.contains(pool.id))
+      Put(of(Type::kCluster), pool.id, ToCluster(pool, options));
   }
   for (const config::Listener& listener : services.listeners) {
+    if (!options.listeners.empty() && !options.listeners.contains(listener.id)) continue;
     PutListener(of(Type::kListener), listener, options);
-    PutRoutes(of(Type::kRoute), services, listener);
+    PutRoutes(of(Type::kRoute), services, listener, options);
+  }
+  return all;
+}
+
+std::shared_ptr<const Snapshot> BuildSnapshot(const config::Services& services,
+                                              const Assignments& assignments,
+                                              const ResourceOptions& options) {
+  auto all = BuildRouting(services, options);
+  for (const auto& [pool, cluster] : all[static_cast<std::size_t>(Type::kCluster)]) {
+    const auto found = assignments.find(pool);
+    EndpointParts parts =
+        BuildEndpoints(pool, found == assignments.end() ? std::vector<Assigned>() : found->second, options);
+    all[static_cast<std::size_t>(Type::kEndpoint)][pool] = parts.list;
+    all[static_cast<std::size_t>(Type::kMember)].merge(parts.members);
   }
   return std::make_shared<Snapshot>(std::move(all));
 }
--- a/src/xds/resources.hpp
+++ b/src/xds/resources.hpp
@@ -3,9 +3,11 @@
 #ifndef OPALSWITCH_XDS_RESOURCES_HPP_
 #define OPALSWITCH_XDS_RESOURCES_HPP_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,17 +33,35 @@
   // The proxies are gRPC clients: listeners by their names, without addresses, and endpoints as localities of
   // their own, for these clients know the weights of localities alone.
   bool grpc_clients = false;
-  Millis stale_after = 0;  // endpoints are not to be used for longer without news; 0 = for ever
+  bool each_endpoint = false;  // lists of endpoints lead to collections of members (LEDS)
+  Millis stale_after = 0;      // endpoints are not to be used for longer without news; 0 = for ever
   bool load_reports = true;
+  std::set<std::string> pools, listeners;  // that the proxies are told of; empty = all
+};
+
+// One pool's endpoints: their list, and, where the list leads to them, its members.
+struct EndpointParts {
+  ResourcePtr list;
+  Resources members;
 };
 
 // Routes follow the file's order within each host pattern; see docs/design/02-xds.md.
 std::shared_ptr<const Snapshot> BuildSnapshot(const config::Services& services,
                                               const Assignments& assignments, const ResourceOptions& options);
 
-// The endpoints of one pool alone, for a change that touches nothing else.
-ResourcePtr BuildEndpoints(const std::string& pool, const std::vector<Assigned>& endpoints,
-                           const ResourceOptions& options);
+// The endpoints of one pool alone, for a change that touches nothing else. What has the same content in
+// `before` is taken from there.
+EndpointParts BuildEndpoints(const std::string& pool, const std::vector<Assigned>& endpoints,
+                             const ResourceOptions& options, const EndpointParts& before = {});
+
+// In the place of a pool's endpoints that are not known yet: proxies keep what they have.
+EndpointParts UnknownEndpoints(const std::string& pool, const ResourceOptions& options);
+
+// The name of an endpoint as a member of its collection.
+std::string MemberName(const std::string& pool, const Assigned& endpoint);
+
+// The clusters of all pools, and the listeners and routes to them.
+std::array<Resources, kTypes> BuildRouting(const config::Services& services, const ResourceOptions& options);
 
 }  // namespace opalswitch::xds
 
--- a/src/xds/server.cpp
+++ b/src/xds/server.cpp
@@ -5,120 +5,25 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <stdexcept>
-#include <thread>
 #include <utility>
 
 #include "envoy/service/discovery/v3/ads.grpc.pb.h"
+#include "xds/decision_loop.hpp"
+#include "xds/load_service.hpp"
+#include "xds/tls.hpp"
+#include "xds/wire.hpp"
 
 namespace opalswitch::xds {
 namespace {
 
 namespace discovery = envoy::service::discovery::v3;
-using Clock = std::chrono::steady_clock;
-
-constexpr auto kTick = std::chrono::milliseconds(10);
 constexpr int kMostMessage = 4 << 20;  // bytes of a proxy's request
 
-Millis Now() { return std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count(); }
-
-ProxyNode ToNode(const envoy::config::core::v3::Node& node) {
-  return {node.id(), node.cluster(), node.locality().zone()};
-}
-
-std::vector<std::string> Texts(const google::protobuf::RepeatedPtrField<std::string>& from) {
-  return {from.begin(), from.end()};
-}
-
-// Nothing if the type is none that this service has.
-std::optional<Request> ToRequest(const discovery::DiscoveryRequest& from) {
-  const auto type = TypeOf(from.type_url());
-  if (!type) return std::nullopt;
-  Request request;
-  request.type = *type;
-  request.nonce = from.response_nonce();
-  request.version = from.version_info();
-  request.names = Texts(from.resource_names());
-  if (from.has_error_detail()) request.error = from.error_detail().message();
-  return request;
-}
-
-std::optional<Request> ToRequest(const discovery::DeltaDiscoveryRequest& from) {
-  const auto type = TypeOf(from.type_url());
-  if (!type) return std::nullopt;
-  Request request;
-  request.type = *type;
-  request.nonce = from.response_nonce();
-  request.subscribe = Texts(from.resource_names_subscribe());
-  request.unsubscribe = Texts(from.resource_names_unsubscribe());
-  for (const auto& [name, version] : from.initial_resource_versions())
-    request.initial_versions[name] = version;
-  if (from.has_error_detail()) request.error = from.error_detail().message();
-  return request;
-}
-
-void SetTtl(discovery::Resource* resource, Millis lease) {
-  const auto nanos = static_cast<std::int64_t>(lease * 1e6);
-  resource->mutable_ttl()->set_seconds(nanos / 1000000000);
-  resource->mutable_ttl()->set_nanos(static_cast<std::int32_t>(nanos % 1000000000));
-}
-
-void SetAny(google::protobuf::Any* any, const Resource& resource, Type type) {
-  any->set_type_url(std::string(TypeUrl(type)));
-  any->set_value(resource.bytes);
-}
-
-bool IsLeased(const Hub::Out& out, const std::string& name) {
-  return std::find(out.leased.begin(), out.leased.end(), name) != out.leased.end();
-}
-
-// A resource with its lease; one that a heartbeat renews has no content.
-discovery::Resource Wrapped(const Hub::Out& out, const std::string& name, const Resource* resource,
-                            Millis lease) {
-  discovery::Resource wrapped;
-  wrapped.set_name(name);
-  if (resource != nullptr) {
-    wrapped.set_version(resource->version);
-    SetAny(wrapped.mutable_resource(), *resource, out.response.type);
-  }
-  if (IsLeased(out, name)) SetTtl(&wrapped, lease);
-  return wrapped;
-}
-
-void Fill(discovery::DiscoveryResponse& to, const Hub::Out& out, const ServerOptions& options) {
-  to.set_version_info(out.response.version);
-  to.mutable_control_plane()->set_identifier(options.identifier);
-  const auto add = [&](const std::string& name, const Resource* resource) {
-    to.add_resources()->PackFrom(Wrapped(out, name, resource, options.hub.lease));
-  };
-  for (const ResourcePtr& resource : out.response.resources) {
-    if (IsLeased(out, resource->name)) {
-      add(resource->name, resource.get());
-    } else {
-      SetAny(to.add_resources(), *resource, out.response.type);
-    }
-  }
-  if (!out.heartbeat) return;
-  for (const std::string& name : out.leased) add(name, nullptr);
-}
-
-void Fill(discovery::DeltaDiscoveryResponse& to, const Hub::Out& out, const ServerOptions& options) {
-  to.set_system_version_info(out.response.version);
-  to.mutable_control_plane()->set_identifier(options.identifier);
-  for (const ResourcePtr& resource : out.response.resources) {
-    *to.add_resources() = Wrapped(out, resource->name, resource.get(), options.hub.lease);
-  }
-  for (const std::string& name : out.response.removed) to.add_removed_resources(name);
-  if (!out.heartbeat) return;
-  for (const std::string& name : out.leased)
-    *to.add_resources() = Wrapped(out, name, nullptr, options.hub.lease);
-}
-
 }  // namespace
 
 class Server::Impl {
@@ -132,13 +37,22 @@
     virtual void End(grpc::Status status) = 0;
   };
 
-  explicit Impl(ServerOptions options) : options_(std::move(options)), hub_(options_.hub), service_(*this) {
+  explicit Impl(ServerOptions options)
+      : options_(std::move(options)),
+        hub_(options_.hub, options_.begun),
+        service_(*this),
+        loads_(loop_,
+               {options_.report_every, options_.reports_per_s, options_.client_names, options_.report}),
+        loop_([this](Millis now) {
+          if (options_.tick) Send(options_.tick(hub_, now));
+          Send(hub_.Tick(now));
+        }) {
     auto credentials = options_.credentials;
     if (!credentials) {
-      if (!options_.address.starts_with("127.") && !options_.address.starts_with("[::1]") &&
-          !options_.address.starts_with("unix:")) {
+      const bool loopback = options_.address.starts_with("127.") || options_.address.starts_with("[::1]") ||
+                            options_.address.starts_with("unix:");
+      if (!loopback && !options_.plaintext_anywhere)
         throw std::runtime_error(options_.address + ": plaintext is for loopback addresses alone");
-      }
       credentials = grpc::InsecureServerCredentials();
     }
     grpc::ServerBuilder builder;
@@ -146,43 +60,17 @@
     builder.SetMaxReceiveMessageSize(kMostMessage);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.RegisterService(&service_);
+    builder.RegisterService(&loads_);
     server_ = builder.BuildAndStart();
     if (!server_ || port_ == 0) throw std::runtime_error(options_.address + ": can't listen");
-    decider_ = std::thread([this] { Decide(); });
   }
 
-  ~Impl() {
-    server_->Shutdown(std::chrono::system_clock::now());  // streams are cancelled at once
-    {
-      const std::lock_guard lock(mutex_);
-      ending_ = true;
-    }
-    wake_.notify_one();
-    decider_.join();
-  }
+  ~Impl() { server_->Shutdown(std::chrono::system_clock::now()); }  // streams are cancelled at once
 
   int port() const { return port_; }
 
-  void Post(std::function<void(Millis)> work) {
-    {
-      const std::lock_guard lock(mutex_);
-      queue_.push_back(std::move(work));
-    }
-    wake_.notify_one();
-  }
-
   void With(const std::function<std::vector<Hub::Out>(Hub&, Millis)>& work) {
-    std::mutex mutex;
-    std::condition_variable done;
-    bool finished = false;
-    Post([&](Millis now) {
-      Send(work(hub_, now));
-      const std::lock_guard lock(mutex);
-      finished = true;
-      done.notify_one();
-    });
-    std::unique_lock lock(mutex);
-    done.wait(lock, [&] { return finished; });
+    loop_.Do([&](Millis now) { Send(work(hub_, now)); });
   }
 
  private:
@@ -190,8 +78,10 @@
   template <typename In, typename Reply, Session::Form form>
   class Reactor : public grpc::ServerBidiReactor<In, Reply>, public Stream {
    public:
-    explicit Reactor(Impl& owner) : owner_(owner), id_(++owner.ids_) {
-      owner_.Post([this](Millis now) {
+    Reactor(Impl& owner, const grpc::CallbackServerContext& context) : owner_(owner), id_(++owner.ids_) {
+      owner_.loop_.Post([this, allowed = NameAllowed(context, owner.options_.client_names)](Millis now) {
+        if (!allowed)
+          return End({grpc::StatusCode::PERMISSION_DENIED, "no name of the certificate is allowed"});
         if (!owner_.hub_.Open(id_, form, now))
           return End({grpc::StatusCode::RESOURCE_EXHAUSTED, "too many proxies"});
         owner_.streams_[id_] = this;
@@ -205,8 +95,8 @@
     }
 
     void OnReadDone(bool good) override {
-      if (!good) return owner_.Post([this](Millis) { End(grpc::Status::OK); });
-      owner_.Post([this](Millis now) {
+      if (!good) return owner_.loop_.Post([this](Millis) { End(grpc::Status::OK); });
+      owner_.loop_.Post([this](Millis now) {
         const auto request = ToRequest(in_);
         // Types that this service has not are asked for in vain, and hold nothing else up.
         if (request) owner_.Send(owner_.hub_.Take(id_, ToNode(in_.node()), *request, now));
@@ -218,7 +108,7 @@
       auto reply = std::make_unique<Reply>();
       reply->set_type_url(std::string(TypeUrl(out.response.type)));
       reply->set_nonce(out.response.nonce);
-      Fill(*reply, out, owner_.options_);
+      Fill(*reply, out, owner_.options_.hub.lease, owner_.options_.identifier);
       const std::size_t bytes = reply->ByteSizeLong();
       std::unique_lock lock(mutex_);
       if (ended_) return;
@@ -245,11 +135,11 @@
     }
 
     void OnCancel() override {
-      owner_.Post([this](Millis) { End(grpc::Status::CANCELLED); });
+      owner_.loop_.Post([this](Millis) { End(grpc::Status::CANCELLED); });
     }
 
     void OnDone() override {
-      owner_.Post([this](Millis now) {
+      owner_.loop_.Post([this](Millis now) {
         owner_.streams_.erase(id_);
         owner_.hub_.Closed(id_, now);
         delete this;
@@ -270,14 +160,14 @@
    public:
     explicit Service(Impl& owner) : owner_(owner) {}
     grpc::ServerBidiReactor<discovery::DiscoveryRequest, discovery::DiscoveryResponse>*
-    StreamAggregatedResources(grpc::CallbackServerContext*) override {
+    StreamAggregatedResources(grpc::CallbackServerContext* context) override {
       return new Reactor<discovery::DiscoveryRequest, discovery::DiscoveryResponse,
-                         Session::Form::kStateOfTheWorld>(owner_);
+                         Session::Form::kStateOfTheWorld>(owner_, *context);
     }
     grpc::ServerBidiReactor<discovery::DeltaDiscoveryRequest, discovery::DeltaDiscoveryResponse>*
-    DeltaAggregatedResources(grpc::CallbackServerContext*) override {
+    DeltaAggregatedResources(grpc::CallbackServerContext* context) override {
       return new Reactor<discovery::DeltaDiscoveryRequest, discovery::DeltaDiscoveryResponse,
-                         Session::Form::kDelta>(owner_);
+                         Session::Form::kDelta>(owner_, *context);
     }
 
    private:
@@ -296,37 +186,15 @@
     }
   }
 
-  void Decide() {
-    auto next = Clock::now() + kTick;
-    std::unique_lock lock(mutex_);
-    for (;;) {
-      wake_.wait_until(lock, next, [this] { return ending_ || !queue_.empty(); });
-      std::deque<std::function<void(Millis)>> work;
-      work.swap(queue_);
-      const bool last = ending_ && work.empty();
-      lock.unlock();
-      for (const auto& item : work) item(Now());
-      if (Clock::now() >= next) {
-        Send(hub_.Tick(Now()));
-        next = Clock::now() + kTick;
-      }
-      lock.lock();
-      if (last && queue_.empty()) return;
-    }
-  }
-
   const ServerOptions options_;
-  Hub hub_;  // of the deciding thread, as the streams
+  Hub hub_;  // of the loop's thread, as the streams
   std::map<Hub::StreamId, Stream*> streams_;
   std::atomic<Hub::StreamId> ids_{0};
-  std::mutex mutex_;
-  std::condition_variable wake_;
-  std::deque<std::function<void(Millis)>> queue_;
-  bool ending_ = false;
   int port_ = 0;
   Service service_;
+  LoadService loads_;
+  DecisionLoop loop_;  // ends before them: what is queued may use them
   std::unique_ptr<grpc::Server> server_;
-  std::thread decider_;
 };
 
 Server::Server(ServerOptions options) : impl_(std::make_unique<Impl>(std::move(options))) {}
--- a/src/xds/server.hpp
+++ b/src/xds/server.hpp
@@ -1,5 +1,6 @@
-// The control service's sockets: ADS over gRPC, both forms. gRPC has threads of its own; each message is
-// handed to the one thread that decides, through one queue, and the answers go back the same way.
+// The control service's sockets: ADS over gRPC, both forms, and load reports. gRPC has threads of its own;
+// each message is handed to the one thread that decides, through one queue, and the answers go back the same
+// way.
 #ifndef OPALSWITCH_XDS_SERVER_HPP_
 #define OPALSWITCH_XDS_SERVER_HPP_
 
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "xds/hub.hpp"
+#include "xds/load_report.hpp"
 
 namespace grpc {
 class ServerCredentials;
@@ -22,6 +24,14 @@
   std::shared_ptr<grpc::ServerCredentials> credentials;  // null: plaintext, on loopback addresses alone
   HubOptions hub;
   std::string identifier = "forkwick-control";
+  std::vector<std::string> client_names;  // that a proxy's certificate must hold one of; empty = any
+  bool plaintext_anywhere = false;
+  Millis begun = 0;             // when the process began; see Hub
+  Millis report_every = 1000;   // proxies are asked for load reports so often
+  double reports_per_s = 2000;  // over all proxies; more are dropped
+  // Called on the thread that decides, every 10 ms and with each load report. May be empty.
+  std::function<std::vector<Hub::Out>(Hub&, Millis now)> tick;
+  std::function<void(const ProxyNode&, const std::vector<LoadReport>&, Millis now)> report;
   std::size_t queued_messages = 64;     // to one stream; a proxy that reads nothing is dropped beyond them
   std::size_t queued_bytes = 64 << 20;  // the same
 };
--- a/src/xds/session.cpp
+++ b/src/xds/session.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t kMostReason = 500;
+constexpr std::size_t kMostNames = 100;    // of a rejected answer, to be told
+constexpr std::size_t kResourceHead = 64;  // bytes of a resource in an answer beside its name and content
 
 bool IsWhole(Type type) { return type == Type::kCluster || type == Type::kListener; }
 
@@ -15,42 +17,56 @@
 Session::Session(Form form, const SessionBounds& bounds) : form_(form), bounds_(bounds) {}
 
 bool Session::Wants(const State& state, const std::string& name) const {
-  return state.wildcard || state.names.contains(name);
+  if (state.wildcard || state.names.contains(name)) return true;
+  return !state.collections.empty() && state.collections.contains(std::string(CollectionOf(name)));
 }
 
 bool Session::Subscribed(Type type, const std::string& name) const { return Wants(Of(type), name); }
 
 bool Session::Settled(Type type, const std::string& name) const {
   const State& state = Of(type);
-  const auto accepted = state.accepted.find(name), sent = state.sent.find(name);
-  return accepted != state.accepted.end() && sent != state.sent.end() && accepted->second == sent->second;
+  const ResourcePtr held = state.held.Find(name), latest = state.latest.Find(name);
+  return held && latest && held->version == latest->version;
 }
 
-std::string Session::Accepted(Type type, const std::string& name) const {
+ResourcePtr Session::Oldest(Type type, const std::string& name) const {
   const State& state = Of(type);
-  const auto found = state.accepted.find(name);
-  return found == state.accepted.end() ? std::string() : found->second;
+  if (ResourcePtr held = state.held.Find(name)) return held;
+  for (const Sent& sent : state.out) {
+    const auto found = sent.changed.find(name);
+    if (found != sent.changed.end()) return found->second;
+  }
+  return nullptr;
+}
+
+Holding Session::OldestOfAll(Type type) const {
+  const State& state = Of(type);
+  Holding all = state.held;
+  for (const Sent& sent : state.out) {
+    for (const auto& [name, resource] : sent.changed) {
+      if (!all.Find(name)) all.Set(name, resource);
+    }
+  }
+  return all;
+}
+
+void Session::Again(Type type, const std::string& name) {
+  State& state = Of(type);
+  Forget(state, name);
+  state.dirty = true;
 }
 
 void Session::Forget(State& state, const std::string& name) {
-  state.accepted.erase(name);
-  state.sent.erase(name);
+  state.held.Erase(name);
+  state.latest.Erase(name);
   state.missing.erase(name);
   state.rejected.erase(name);
-  state.held.erase(name);
-  state.latest.erase(name);
   state.one_by_one.erase(name);
 }
 
 void Session::Note(State& state, const Sent& sent) {
-  for (const auto& [name, resource] : sent.changed) {
-    state.sent[name] = resource->version;
-    state.latest[name] = resource;
-  }
-  for (const std::string& name : sent.removed) {
-    state.sent.erase(name);
-    state.latest.erase(name);
-  }
+  for (const auto& [name, resource] : sent.changed) state.latest.Set(name, resource);
+  for (const std::string& name : sent.removed) state.latest.Erase(name);
 }
 
 std::optional<std::string> Session::Take(const Request& request, const Snapshot& snapshot) {
@@ -63,9 +79,10 @@
         return "a name of more than " + std::to_string(bounds_.name_bytes) + " bytes";
     }
   }
-  if (request.initial_versions.size() > bounds_.names) return std::string("too many initial versions");
-  Acknowledge(state, request);
-  if (form_ == Form::kDelta) return TakeDelta(state, request);
+  if (request.initial_versions.size() > bounds_.initial) return std::string("too many initial versions");
+  Acknowledge(state, request, snapshot);
+  if (form_ == Form::kDelta) return TakeDelta(state, request, snapshot);
+  if (request.type == Type::kMember) return std::nullopt;  // this form has no collections
   // A stale nonce: the proxy has not seen the newest answer yet, and will say it all again when it has.
   if (state.begun && request.nonce != state.newest) {
     ++stale_;
@@ -76,10 +93,12 @@
 
 std::optional<std::string> Session::TakeNames(State& state, const Request& request,
                                               const Snapshot& snapshot) {
-  const std::set<std::string> wanted(request.names.begin(), request.names.end());
+  std::set<std::string> wanted(request.names.begin(), request.names.end());
   const bool first = !std::exchange(state.begun, true);
   const bool wildcard =
       IsWhole(request.type) && (wanted.empty() ? first || state.wildcard : wanted.contains("*"));
+  if (!first && wildcard == state.wildcard && wanted == state.names) return std::nullopt;
+  state.dirty = true;
   if (first) {
     state.due = true;
     // A proxy that comes over from another instance, or back after a restart, with the whole list as it is
@@ -87,62 +106,88 @@
     if (wildcard && !request.version.empty() && request.version == snapshot.version(request.type)) {
       state.due = false;
       for (const auto& [name, resource] : snapshot.of(request.type)) {
-        state.accepted[name] = state.sent[name] = resource->version;
-        state.held[name] = state.latest[name] = resource;
+        state.held.Set(name, resource);
+        state.latest.Set(name, resource);
       }
     }
   }
   for (const std::string& name : wanted) state.due = state.due || (!first && !state.names.contains(name));
   if (!wildcard) {
     std::vector<std::string> left;
-    for (const auto& [name, version] : state.sent) {
+    state.latest.ForEach([&](const std::string& name, const ResourcePtr&) {
       if (!wanted.contains(name)) left.push_back(name);
-    }
+    });
     for (const std::string& name : left) Forget(state, name);
   }
   state.wildcard = wildcard;
-  state.names = wanted;
+  state.names = std::move(wanted);
   return std::nullopt;
 }
 
-std::optional<std::string> Session::TakeDelta(State& state, const Request& request) {
+std::optional<std::string> Session::TakeDelta(State& state, const Request& request,
+                                              const Snapshot& snapshot) {
   const bool first = !std::exchange(state.begun, true);
+  if (!first && request.subscribe.empty() && request.unsubscribe.empty()) return std::nullopt;
+  state.dirty = true;
   if (first) {
     state.due = true;
     state.wildcard = IsWhole(request.type) && request.subscribe.empty();
     for (const auto& [name, version] : request.initial_versions) {
-      state.accepted[name] = state.sent[name] = version;
+      const auto found = snapshot.of(request.type).find(name);
+      ResourcePtr resource;
+      if (found != snapshot.of(request.type).end() && found->second->version == version) {
+        resource = found->second;
+      } else {
+        resource = std::make_shared<const Resource>(Resource{name, version, {}, {}, 0});
+      }
+      state.held.Set(name, resource);
+      state.latest.Set(name, resource);
       state.due = false;  // nothing is owed to one that has all that there is
     }
   }
+  const auto is_collection = [&](const std::string& name) {
+    return request.type == Type::kMember && name.ends_with("/*");
+  };
   for (const std::string& name : request.subscribe) {
     if (name == "*") {
       state.wildcard = true;
-      continue;
+    } else if (is_collection(name)) {
+      const std::string collection = name.substr(0, name.size() - 1);
+      if (!first) {
+        state.held.EraseCollection(collection);
+        state.latest.EraseCollection(collection);
+      }
+      state.collections.insert(collection);
+    } else {
+      // Asking for a name again asks for the resource again, but for what the proxy says it has.
+      if (!(first && request.initial_versions.contains(name))) Forget(state, name);
+      state.names.insert(name);
     }
-    // Asking for a name again asks for the resource again, but for what the proxy says it has.
-    if (!(first && request.initial_versions.contains(name))) Forget(state, name);
-    state.names.insert(name);
   }
-  if (state.names.size() > bounds_.names)
+  if (state.names.size() + state.collections.size() > bounds_.names)
     return "more than " + std::to_string(bounds_.names) + " subscriptions";
   for (const std::string& name : request.unsubscribe) {
     if (name == "*") {
       state.wildcard = false;
       std::vector<std::string> left;
-      for (const auto& [held, version] : state.sent) {
-        if (!state.names.contains(held)) left.push_back(held);
-      }
+      state.latest.ForEach([&](const std::string& held, const ResourcePtr&) {
+        if (!Wants(state, held)) left.push_back(held);
+      });
       for (const std::string& held : left) Forget(state, held);
-      continue;
+    } else if (is_collection(name)) {
+      const std::string collection = name.substr(0, name.size() - 1);
+      state.collections.erase(collection);
+      state.held.EraseCollection(collection);
+      state.latest.EraseCollection(collection);
+    } else {
+      state.names.erase(name);
+      if (!Wants(state, name)) Forget(state, name);
     }
-    state.names.erase(name);
-    if (!state.wildcard) Forget(state, name);
   }
   return std::nullopt;
 }
 
-void Session::Acknowledge(State& state, const Request& request) {
+void Session::Acknowledge(State& state, const Request& request, const Snapshot& snapshot) {
   if (request.nonce.empty()) return;
   const auto found = std::find_if(state.out.begin(), state.out.end(),
                                   [&](const Sent& sent) { return sent.nonce == request.nonce; });
@@ -151,30 +196,38 @@
     ++acks_;
     // Answers are acknowledged in their order: the earlier ones were taken in with this one.
     const auto end = found + 1;
+    bool content = false;
     for (auto sent = state.out.begin(); sent != end; ++sent) {
+      content = content || !sent->changed.empty() || !sent->removed.empty();
       for (const auto& [name, resource] : sent->changed) {
         if (!Wants(state, name)) continue;
-        state.accepted[name] = resource->version;
-        state.held[name] = resource;
+        state.held.Set(name, resource);
         state.one_by_one.erase(name);
       }
-      for (const std::string& name : sent->removed) {
-        state.accepted.erase(name);
-        state.held.erase(name);
-      }
+      for (const std::string& name : sent->removed) state.held.Erase(name);
     }
     state.out.erase(state.out.begin(), end);
-    if (request.type == Type::kRoute) {
+    if (request.type == Type::kRoute && content) {
       state.clusters.clear();
-      for (const auto& [name, resource] : state.held) {
+      state.held.ForEach([&](const std::string&, const ResourcePtr& resource) {
         state.clusters.insert(resource->clusters.begin(), resource->clusters.end());
-      }
+      });
+      Of(Type::kCluster).dirty = true;  // some may go now
+    }
+    // It has all that there is: as do the others, who share one list of it.
+    if (content && state.out.empty() && !state.dirty && state.seen == snapshot.serial() &&
+        state.rejected.empty() && state.names.empty() && !state.wildcard && !state.collections.empty()) {
+      state.held.Become(snapshot.shared(request.type), state.collections);
+      state.latest = state.held;
     }
     return;
   }
   ++nacks_;
+  state.dirty = true;
   Rejection rejection{request.type, {}, request.error->substr(0, kMostReason)};
-  for (const auto& [name, resource] : found->changed) rejection.names.push_back(name);
+  for (const auto& [name, resource] : found->changed) {
+    if (rejection.names.size() < kMostNames) rejection.names.push_back(name);
+  }
   if (found->changed.size() > 1) {
     // One of several is bad, and the proxy took none. Each is tried alone: the bad one must not hold back the
     // others.
@@ -187,47 +240,117 @@
   }
   state.out.erase(found);
   // What the proxy will hold: what it has accepted, and what is on its way still.
-  state.sent = state.accepted;
   state.latest = state.held;
   for (const Sent& sent : state.out) Note(state, sent);
   last_rejection_ = std::move(rejection);
 }
 
-Resources Session::Desired(Type type, const Snapshot& snapshot) const {
+ResourcePtr Session::Desired(Type type, const std::string& name, const Snapshot& snapshot) const {
   const State& state = Of(type);
-  Resources desired;
-  const auto add = [&](const std::string& name, const ResourcePtr& resource) {
+  if (!Wants(state, name)) return nullptr;
+  const Resources& all = snapshot.of(type);
+  const auto found = all.find(name);
+  if (found != all.end()) {
+    if (found->second->unknown) return state.latest.Find(name);
     const auto rejected = state.rejected.find(name);
-    if (rejected == state.rejected.end() || rejected->second != resource->version) {
-      desired[name] = resource;
-      return;
-    }
-    const auto latest = state.latest.find(name);  // what it has, or will have, in place of that
-    if (latest != state.latest.end()) desired[name] = latest->second;
-  };
+    if (rejected == state.rejected.end() || rejected->second != found->second->version) return found->second;
+    return state.latest.Find(name);  // what it has, or will have, in place of that
+  }
+  // Break after make: a cluster that the proxy's routes still lead to stays until they don't.
+  if (type == Type::kCluster && Of(Type::kRoute).clusters.contains(name)) return state.held.Find(name);
+  return nullptr;
+}
+
+Resources Session::DesiredAll(Type type, const Snapshot& snapshot) const {
+  const State& state = Of(type);
   const Resources& all = snapshot.of(type);
+  Resources desired;
+  const auto add = [&](const std::string& name) {
+    if (auto resource = Desired(type, name, snapshot)) desired[name] = std::move(resource);
+  };
   if (state.wildcard) {
-    for (const auto& [name, resource] : all) add(name, resource);
+    for (const auto& [name, resource] : all) add(name);
   } else {
-    for (const std::string& name : state.names) {
-      if (const auto found = all.find(name); found != all.end()) add(name, found->second);
+    for (const std::string& name : state.names) add(name);
+    for (const std::string& collection : state.collections) {
+      for (auto at = all.lower_bound(collection); at != all.end() && at->first.starts_with(collection); ++at)
+        add(at->first);
     }
   }
-  // Break after make: a cluster that the proxy's routes still lead to stays until they don't.
   if (type == Type::kCluster) {
-    for (const std::string& name : Of(Type::kRoute).clusters) {
-      const auto held = state.held.find(name);
-      if (!desired.contains(name) && held != state.held.end() && Wants(state, name))
-        desired[name] = held->second;
-    }
+    for (const std::string& name : Of(Type::kRoute).clusters) add(name);
   }
   return desired;
 }
 
+void Session::Look(Type type, const std::string& name, const ResourcePtr& desired, Sent& sent) {
+  State& state = Of(type);
+  const ResourcePtr known = state.latest.Find(name);
+  if (desired) {
+    state.missing.erase(name);
+    if (!known || known->version != desired->version) {
+      sent.changed[name] = desired;
+    } else if (known !=
+               desired) {  // told by its version alone until now, or built anew with the same content
+      const ResourcePtr held = state.held.Find(name);
+      state.latest.Set(name, desired);
+      if (held && held->version == desired->version) state.held.Set(name, desired);
+    }
+    return;
+  }
+  if (known) {
+    if (form_ == Form::kDelta || IsWhole(type)) {
+      sent.removed.insert(name);  // in the other form by not being listed
+    } else {
+      Forget(state, name);  // this form has no word for it
+    }
+  } else if (form_ == Form::kDelta && state.names.contains(name) && state.missing.insert(name).second) {
+    sent.removed.insert(name);
+  }
+}
+
+Session::Sent Session::Compare(Type type, const Snapshot& snapshot, std::optional<Resources>& whole) {
+  State& state = Of(type);
+  Sent sent;
+  std::set<std::string> names;
+  if (!state.dirty && !state.due && snapshot.ChangedSince(state.seen, type, names)) {
+    for (const std::string& name : names) {
+      if (!snapshot.Unknown(type, name)) Look(type, name, Desired(type, name, snapshot), sent);
+    }
+    // Who is told of a change by the whole list is told of all.
+    if ((sent.changed.empty() && sent.removed.empty()) || form_ == Form::kDelta || !IsWhole(type))
+      return sent;
+    sent = Sent();
+  }
+  whole = DesiredAll(type, snapshot);
+  for (const auto& [name, resource] : *whole) Look(type, name, resource, sent);
+  std::vector<std::string> rest;
+  state.latest.ForEach([&](const std::string& name, const ResourcePtr&) {
+    if (!whole->contains(name)) rest.push_back(name);
+  });
+  rest.insert(rest.end(), state.names.begin(), state.names.end());
+  for (const std::string& name : rest) {
+    if (!whole->contains(name) && !snapshot.Unknown(type, name)) Look(type, name, nullptr, sent);
+  }
+  return sent;
+}
+
+void Session::Cut(State& state, Sent& sent) const {
+  std::size_t bytes = 0;
+  auto at = sent.changed.begin();
+  for (; at != sent.changed.end(); ++at) {
+    bytes += at->second->bytes.size() + at->first.size() + kResourceHead;
+    if (bytes > bounds_.answer_bytes && at != sent.changed.begin()) break;
+  }
+  if (at == sent.changed.end()) return;
+  sent.changed.erase(at, sent.changed.end());
+  state.dirty = true;
+}
+
 // Routes and listeners wait until the clusters and endpoints that were sent before them are taken in.
 // Endpoints wait for nothing: a drain may be among them.
 bool Session::Waits(Type type) const {
-  if (type == Type::kCluster || type == Type::kEndpoint) return false;
+  if (type != Type::kListener && type != Type::kRoute) return false;
   return !Of(Type::kCluster).out.empty() || !Of(Type::kEndpoint).out.empty();
 }
 
@@ -237,71 +360,54 @@
     const Type type = static_cast<Type>(i);
     State& state = states_[i];
     if (!state.begun || Waits(type)) continue;
+    if (!state.dirty && !state.due && state.seen == snapshot.serial()) continue;
     // Changes of a rejected answer go one at a time.
     if (!state.one_by_one.empty() && !state.out.empty()) continue;
-    const Resources desired = Desired(type, snapshot);
-    Sent sent;
-    for (const auto& [name, resource] : desired) {
-      const auto known = state.sent.find(name);
-      if (known != state.sent.end() && known->second == resource->version) {
-        if (!state.held.contains(name) && state.accepted.contains(name) &&
-            state.accepted[name] == resource->version) {
-          state.held[name] = state.latest[name] = resource;  // told by its version alone until now
-        }
-        continue;
-      }
-      sent.changed[name] = resource;
+    std::set<std::string> names;
+    if (!state.dirty && !state.due && snapshot.ChangedSince(state.seen, type, names) && names.empty()) {
+      state.seen = snapshot.serial();
+      continue;
+    }
+    if (state.out.size() >= bounds_.unacknowledged) {
+      stuck_ = true;
+      continue;
     }
+    std::optional<Resources> whole;
+    Sent sent = Compare(type, snapshot, whole);
+    state.dirty = false;
+    state.seen = snapshot.serial();
+    const bool all_of_it = form_ == Form::kStateOfTheWorld && IsWhole(type);
     if (!state.one_by_one.empty()) {
       std::erase_if(state.one_by_one, [&](const std::string& name) { return !sent.changed.contains(name); });
       if (!state.one_by_one.empty()) {
         const std::string alone = *state.one_by_one.begin();
         const ResourcePtr resource = sent.changed[alone];
         sent.changed = {{alone, resource}};
+        state.dirty = true;
       }
     }
-    std::vector<std::string> gone;
-    for (const auto& [name, version] : state.sent) {
-      if (!desired.contains(name)) gone.push_back(name);
-    }
-    if (form_ == Form::kDelta) {
-      sent.removed.insert(gone.begin(), gone.end());
-      for (const std::string& name : state.names) {
-        const bool there = desired.contains(name);
-        if (there) state.missing.erase(name);
-        if (!there && !state.sent.contains(name) && state.missing.insert(name).second)
-          sent.removed.insert(name);
-      }
-    } else if (IsWhole(type)) {
-      sent.removed.insert(gone.begin(), gone.end());  // by not being listed
-    } else {
-      for (const std::string& name : gone) Forget(state, name);  // this form has no word for it
-    }
     if (sent.changed.empty() && sent.removed.empty() && !state.due) continue;
-    if (form_ == Form::kStateOfTheWorld && IsWhole(type) && state.one_by_one.empty()) {
+    if (!all_of_it) Cut(state, sent);
+    if (all_of_it && !whole) whole = DesiredAll(type, snapshot);
+    if (all_of_it && state.one_by_one.empty()) {
       // The whole list goes: if it is rejected, whatever of it was not accepted before may be to blame.
-      for (const auto& [name, resource] : desired) {
-        const auto accepted = state.accepted.find(name);
-        if (accepted == state.accepted.end() || accepted->second != resource->version)
-          sent.changed[name] = resource;
+      for (const auto& [name, resource] : *whole) {
+        const ResourcePtr held = state.held.Find(name);
+        if (!held || held->version != resource->version) sent.changed[name] = resource;
       }
     }
-    if (state.out.size() >= bounds_.unacknowledged) {
-      stuck_ = true;
-      continue;
-    }
     state.due = false;
     Response response;
     response.type = type;
     response.version = snapshot.version(type);
     response.nonce = sent.nonce = std::to_string(++nonces_);
-    if (form_ == Form::kStateOfTheWorld && IsWhole(type)) {
-      for (const auto& [name, resource] : desired) {
+    if (all_of_it) {
+      for (const auto& [name, resource] : *whole) {
         if (sent.changed.contains(name)) {
           response.resources.push_back(resource);
-        } else if (const auto held = state.held.find(name); held != state.held.end()) {
-          response.resources.push_back(held->second);
-        } else if (state.sent.contains(name)) {
+        } else if (const ResourcePtr held = state.held.Find(name)) {
+          response.resources.push_back(held);
+        } else if (state.latest.Find(name)) {
           response.resources.push_back(resource);
         }
       }
--- a/src/xds/session.hpp
+++ b/src/xds/session.hpp
@@ -15,15 +15,18 @@
 #include <string>
 #include <vector>
 
+#include "xds/holding.hpp"
 #include "xds/snapshot.hpp"
 
 namespace opalswitch::xds {
 
 // What a proxy may make grow.
 struct SessionBounds {
-  std::size_t names = 10000;  // subscriptions of one type
+  std::size_t names = 10000;     // subscriptions of one type; a collection counts for one
+  std::size_t initial = 200000;  // versions that a proxy says it has
   std::size_t name_bytes = 512;
   std::size_t unacknowledged = 8;  // answers of one type without ACK or NACK: beyond them it is not told more
+  std::size_t answer_bytes = 1 << 20;  // of resources in an answer that may be told in parts
 };
 
 // A DiscoveryRequest, or a DeltaDiscoveryRequest.
@@ -67,10 +70,18 @@
   // already.
   std::optional<Response> Heartbeat(Type type);
 
-  // What the proxy is known to hold of a resource: its version as last accepted; empty if none.
-  std::string Accepted(Type type, const std::string& name) const;
+  // What the proxy is known to hold of a resource, as last accepted; null if nothing. One that it said it has
+  // from elsewhere has serial 0.
+  ResourcePtr Accepted(Type type, const std::string& name) const { return Of(type).held.Find(name); }
+  // The oldest that the proxy may go by: what it has accepted, else the first that is on its way.
+  ResourcePtr Oldest(Type type, const std::string& name) const;
+  Holding OldestOfAll(Type type) const;
   // Whether the proxy has accepted the newest version that it was sent.
   bool Settled(Type type, const std::string& name) const;
+  // Whether it has answered all that it was sent.
+  bool Answered(Type type) const { return Of(type).out.empty(); }
+  // The proxy does not have the resource any more, though it was told: it is told again.
+  void Again(Type type, const std::string& name);
   bool Subscribed(Type type, const std::string& name) const;
   // Whether it is to be told of something and can't be, since it acknowledges nothing.
   bool stuck() const { return stuck_; }
@@ -91,29 +102,38 @@
     bool wildcard = false;
     bool due = false;  // an answer is owed even if nothing has changed
     std::set<std::string> names;
-    std::map<std::string, std::string> accepted;  // versions, by name
-    std::map<std::string, std::string> sent;      // the same, once all answers on their way are accepted
+    std::set<std::string> collections;            // of members, asked for whole
+    Holding held;                                 // accepted
+    Holding latest;                               // the same, once all answers on their way are accepted
     std::set<std::string> missing;                // delta: asked for, not there, and told so
     std::deque<Sent> out;                         // not acknowledged, oldest first
     std::string newest;                           // nonce of the newest answer
     std::map<std::string, std::string> rejected;  // versions that are not sent again, by name
-    std::map<std::string, ResourcePtr> held;      // accepted resources
-    std::map<std::string, ResourcePtr> latest;    // sent ones: they stay in place of a rejected version
     std::set<std::string> one_by_one;             // changes of a rejected answer, to be tried alone
     std::set<std::string> clusters;               // that accepted routes lead to, by any of them
+    std::uint64_t seen = 0;                       // the snapshot that it was last held against
+    bool dirty = true;                            // and more than that has changed since
   };
 
   State& Of(Type type) { return states_[static_cast<std::size_t>(type)]; }
   const State& Of(Type type) const { return states_[static_cast<std::size_t>(type)]; }
   std::optional<std::string> TakeNames(State& state, const Request& request, const Snapshot& snapshot);
-  std::optional<std::string> TakeDelta(State& state, const Request& request);
-  void Acknowledge(State& state, const Request& request);
-  void Forget(State& state, const std::string& name);
+  std::optional<std::string> TakeDelta(State& state, const Request& request, const Snapshot& snapshot);
+  void Acknowledge(State& state, const Request& request, const Snapshot& snapshot);
+  static void Forget(State& state, const std::string& name);
   // What the proxy will hold once it accepts an answer.
   static void Note(State& state, const Sent& sent);
   bool Wants(const State& state, const std::string& name) const;
-  // What the proxy should hold now, rejected versions left aside.
-  Resources Desired(Type type, const Snapshot& snapshot) const;
+  // What the proxy should hold of a name now, rejected versions left aside; null if nothing.
+  ResourcePtr Desired(Type type, const std::string& name, const Snapshot& snapshot) const;
+  // The same of all names.
+  Resources DesiredAll(Type type, const Snapshot& snapshot) const;
+  // What one name adds to the next answer.
+  void Look(Type type, const std::string& name, const ResourcePtr& desired, Sent& sent);
+  // All that is to be told of a type. `whole` gets what the proxy should hold, where that had to be found.
+  Sent Compare(Type type, const Snapshot& snapshot, std::optional<Resources>& whole);
+  // Cuts an answer to what may be sent at once; the rest stays to be told.
+  void Cut(State& state, Sent& sent) const;
   bool Waits(Type type) const;
 
   const Form form_;
--- a/src/xds/snapshot.cpp
+++ b/src/xds/snapshot.cpp
@@ -2,6 +2,9 @@
 
 #include <openssl/sha.h>
 
+#include <atomic>
+#include <cstdio>
+#include <cstring>
 #include <utility>
 
 namespace opalswitch::xds {
@@ -10,9 +13,32 @@
 constexpr std::array<std::string_view, kTypes> kUrls = {
     "type.googleapis.com/envoy.config.cluster.v3.Cluster",
     "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+    "type.googleapis.com/envoy.config.endpoint.v3.LbEndpoint",
     "type.googleapis.com/envoy.config.listener.v3.Listener",
     "type.googleapis.com/envoy.config.route.v3.RouteConfiguration",
 };
+constexpr int kMostSteps = 64;  // that a snapshot remembers of how it came about
+
+// Tells snapshots and resources of one process apart; no part of what proxies see.
+std::uint64_t NextSerial() {
+  static std::atomic<std::uint64_t> last{0};
+  return ++last;
+}
+
+std::array<std::uint64_t, 2> HashOf(std::string_view content) {
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(reinterpret_cast<const unsigned char*>(content.data()), content.size(), digest);
+  std::array<std::uint64_t, 2> hash{};
+  for (std::size_t i = 0; i < 16; ++i) hash[i / 8] = hash[i / 8] << 8 | digest[i];
+  return hash;
+}
+
+std::string Hex(const std::array<std::uint64_t, 2>& hash) {
+  char text[33];
+  std::snprintf(text, sizeof text, "%016llx%016llx", static_cast<unsigned long long>(hash[0]),
+                static_cast<unsigned long long>(hash[1]));
+  return text;
+}
 
 }  // namespace
 
@@ -25,24 +51,96 @@
   return std::nullopt;
 }
 
-std::string ContentVersion(std::string_view content) {
-  unsigned char digest[SHA256_DIGEST_LENGTH];
-  SHA256(reinterpret_cast<const unsigned char*>(content.data()), content.size(), digest);
-  constexpr char kHex[] = "0123456789abcdef";
-  std::string text;
-  for (std::size_t i = 0; i < 16; ++i) {
-    text += kHex[digest[i] >> 4];
-    text += kHex[digest[i] & 15];
+std::string ContentVersion(std::string_view content) { return Hex(HashOf(content)); }
+
+ResourcePtr MakeResource(std::string name, std::string bytes, std::set<std::string> clusters) {
+  auto resource = std::make_shared<Resource>();
+  resource->name = std::move(name);
+  resource->version = ContentVersion(bytes);
+  resource->bytes = std::move(bytes);
+  resource->clusters = std::move(clusters);
+  resource->serial = NextSerial();
+  return resource;
+}
+
+ResourcePtr MakeUnknown(std::string name) {
+  auto resource = std::make_shared<Resource>();
+  resource->name = std::move(name);
+  resource->serial = NextSerial();
+  resource->unknown = true;
+  return resource;
+}
+
+std::string_view CollectionOf(std::string_view name) {
+  const std::size_t slash = name.rfind('/');
+  return slash == std::string_view::npos ? std::string_view() : name.substr(0, slash + 1);
+}
+
+void Snapshot::Add(Sum& sum, const Resource& resource, bool in) {
+  const auto hash = HashOf(resource.name + '\0' + resource.version);
+  for (std::size_t i = 0; i < sum.size(); ++i) sum[i] += in ? hash[i] : ~hash[i] + 1;
+}
+
+Snapshot::Snapshot(std::array<Resources, kTypes> resources) : serial_(NextSerial()) {
+  for (std::size_t i = 0; i < kTypes; ++i) {
+    for (const auto& [name, resource] : resources[i]) Add(sums_[i], *resource, true);
+    resources_[i] = std::make_shared<const Resources>(std::move(resources[i]));
   }
-  return text;
 }
 
-Snapshot::Snapshot(std::array<Resources, kTypes> resources) : resources_(std::move(resources)) {
+std::shared_ptr<const Snapshot> Snapshot::With(const Changes& changes) const {
+  const std::shared_ptr<Snapshot> next(new Snapshot());
+  next->resources_ = resources_;
+  next->sums_ = sums_;
+  next->serial_ = NextSerial();
+  const auto step = std::make_shared<Step>();
+  step->from = serial_;
+  if (step_ && step_->depth < kMostSteps) {
+    step->before = step_;
+    step->depth = step_->depth + 1;
+  }
   for (std::size_t i = 0; i < kTypes; ++i) {
-    std::string all;
-    for (const auto& [name, resource] : resources_[i]) all += name + '\0' + resource->version + '\0';
-    versions_[i] = ContentVersion(all);
+    if (changes[i].empty()) continue;
+    auto all = std::make_shared<Resources>(*resources_[i]);
+    for (const auto& [name, resource] : changes[i]) {
+      step->names[i].insert(name);
+      const auto found = all->find(name);
+      if (found != all->end()) Add(next->sums_[i], *found->second, false);
+      if (resource) {
+        Add(next->sums_[i], *resource, true);
+        (*all)[name] = resource;
+      } else if (found != all->end()) {
+        all->erase(found);
+      }
+    }
+    next->resources_[i] = std::move(all);
+  }
+  next->step_ = step;
+  return next;
+}
+
+bool Snapshot::Unknown(Type type, const std::string& name) const {
+  const Resources& all = of(type);
+  const auto is = [&](const std::string& key) {
+    const auto found = all.find(key);
+    return found != all.end() && found->second->unknown;
+  };
+  if (is(name)) return true;
+  if (type != Type::kMember) return false;
+  const std::string_view collection = CollectionOf(name);
+  return !collection.empty() && is(std::string(CollectionOf(collection.substr(0, collection.size() - 1))));
+}
+
+std::string Snapshot::version(Type type) const { return Hex(sums_[static_cast<std::size_t>(type)]); }
+
+bool Snapshot::ChangedSince(std::uint64_t serial, Type type, std::set<std::string>& names) const {
+  if (serial == serial_) return true;
+  for (const Step* step = step_.get(); step != nullptr; step = step->before.get()) {
+    const auto& changed = step->names[static_cast<std::size_t>(type)];
+    names.insert(changed.begin(), changed.end());
+    if (step->from == serial) return true;
   }
+  return false;
 }
 
 }  // namespace opalswitch::xds
--- a/src/xds/snapshot.hpp
+++ b/src/xds/snapshot.hpp
@@ -1,10 +1,12 @@
-// What proxies are told, at one moment: named resources of four types, each with a version made from its
-// content, so that two control services over the same inputs tell the same. Immutable; replaced whole.
+// What proxies are told, at one moment: named resources of five types, each with a version made from its
+// content, so that two control services over the same inputs tell the same. Immutable; a snapshot that
+// differs in little from the one before shares the rest with it, and knows in what it differs.
 #ifndef OPALSWITCH_XDS_SNAPSHOT_HPP_
 #define OPALSWITCH_XDS_SNAPSHOT_HPP_
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -15,9 +17,9 @@
 namespace opalswitch::xds {
 
 // In make-before-break order: who is told of a cluster and its endpoints before the routes to it sends
-// nothing astray.
-enum class Type { kCluster, kEndpoint, kListener, kRoute };
-constexpr std::size_t kTypes = 4;
+// nothing astray. A member is one endpoint of a list that is sent piece by piece (LEDS).
+enum class Type { kCluster, kEndpoint, kMember, kListener, kRoute };
+constexpr std::size_t kTypes = 5;
 
 std::string_view TypeUrl(Type type);
 std::optional<Type> TypeOf(std::string_view url);
@@ -27,21 +29,61 @@
   std::string version;
   std::string bytes;               // the message, as it goes into an Any; built once, shared by all proxies
   std::set<std::string> clusters;  // that it leads to: of routes
+  std::uint64_t serial = 0;        // later ones of a process have higher ones; no part of the content
+  bool unknown = false;            // there is such a thing, but not known yet: proxies keep what they have
 };
 using ResourcePtr = std::shared_ptr<const Resource>;
 using Resources = std::map<std::string, ResourcePtr>;
 
+// Made of its name and bytes, which give its version.
+ResourcePtr MakeResource(std::string name, std::string bytes, std::set<std::string> clusters = {});
+
+// In the place of a resource that is not known yet. For members: of a name that ends in "/", it stands for
+// all collections below it.
+ResourcePtr MakeUnknown(std::string name);
+
+// Of a member: what its name shares with all of its list, "/" at the end included. Empty for other names.
+std::string_view CollectionOf(std::string_view name);
+
 class Snapshot {
  public:
+  // What changes, by type and name; null where a resource goes.
+  using Changes = std::array<Resources, kTypes>;
+
   explicit Snapshot(std::array<Resources, kTypes> resources);
+  // This one, changed.
+  std::shared_ptr<const Snapshot> With(const Changes& changes) const;
 
-  const Resources& of(Type type) const { return resources_[static_cast<std::size_t>(type)]; }
+  const Resources& of(Type type) const { return *resources_[static_cast<std::size_t>(type)]; }
+  std::shared_ptr<const Resources> shared(Type type) const {
+    return resources_[static_cast<std::size_t>(type)];
+  }
+  // Whether proxies are to be told nothing of the name, not even that it is not there.
+  bool Unknown(Type type, const std::string& name) const;
   // Of all resources of a type together.
-  const std::string& version(Type type) const { return versions_[static_cast<std::size_t>(type)]; }
+  std::string version(Type type) const;
+  // Which snapshot of this process it is; later ones have higher ones.
+  std::uint64_t serial() const { return serial_; }
+  // Adds the names of a type that may differ from the snapshot with that serial. False if that is not known:
+  // then all may.
+  bool ChangedSince(std::uint64_t serial, Type type, std::set<std::string>& names) const;
 
  private:
-  std::array<Resources, kTypes> resources_;
-  std::array<std::string, kTypes> versions_;
+  // The sum, without order, of what its resources hash to: a change costs what changes, not the whole.
+  using Sum = std::array<std::uint64_t, 2>;
+  struct Step {
+    std::uint64_t from;
+    std::array<std::set<std::string>, kTypes> names;
+    std::shared_ptr<const Step> before;
+    int depth = 0;
+  };
+  Snapshot() = default;
+  static void Add(Sum& sum, const Resource& resource, bool in);
+
+  std::array<std::shared_ptr<const Resources>, kTypes> resources_;
+  std::array<Sum, kTypes> sums_{};
+  std::uint64_t serial_ = 0;
+  std::shared_ptr<const Step> step_;
 };
 
 // 32 hex digits of a SHA-256 (FIPS 180-4).
--- /dev/null
+++ b/src/xds/wire.cpp
@@ -0,0 +1,107 @@
+#include "xds/wire.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "envoy/service/discovery/v3/discovery.pb.h"
+
+namespace opalswitch::xds {
+namespace {
+
+namespace discovery = envoy::service::discovery::v3;
+
+std::vector<std::string> Texts(const google::protobuf::RepeatedPtrField<std::string>& from) {
+  return {from.begin(), from.end()};
+}
+
+void SetTtl(discovery::Resource* resource, Millis lease) {
+  const auto nanos = static_cast<std::int64_t>(lease * 1e6);
+  resource->mutable_ttl()->set_seconds(nanos / 1000000000);
+  resource->mutable_ttl()->set_nanos(static_cast<std::int32_t>(nanos % 1000000000));
+}
+
+void SetAny(google::protobuf::Any* any, const Resource& resource, Type type) {
+  any->set_type_url(std::string(TypeUrl(type)));
+  any->set_value(resource.bytes);
+}
+
+bool IsLeased(const Hub::Out& out, const std::string& name) {
+  return std::find(out.leased.begin(), out.leased.end(), name) != out.leased.end();
+}
+
+// A resource with its lease; one that a heartbeat renews has no content.
+discovery::Resource Wrapped(const Hub::Out& out, const std::string& name, const Resource* resource,
+                            Millis lease) {
+  discovery::Resource wrapped;
+  wrapped.set_name(name);
+  if (resource != nullptr) {
+    wrapped.set_version(resource->version);
+    SetAny(wrapped.mutable_resource(), *resource, out.response.type);
+  }
+  if (IsLeased(out, name)) SetTtl(&wrapped, lease);
+  return wrapped;
+}
+
+}  // namespace
+
+ProxyNode ToNode(const envoy::config::core::v3::Node& node) {
+  return {node.id(), node.cluster(), node.locality().zone()};
+}
+
+std::optional<Request> ToRequest(const discovery::DiscoveryRequest& from) {
+  const auto type = TypeOf(from.type_url());
+  if (!type) return std::nullopt;
+  Request request;
+  request.type = *type;
+  request.nonce = from.response_nonce();
+  request.version = from.version_info();
+  request.names = Texts(from.resource_names());
+  if (from.has_error_detail()) request.error = from.error_detail().message();
+  return request;
+}
+
+std::optional<Request> ToRequest(const discovery::DeltaDiscoveryRequest& from) {
+  const auto type = TypeOf(from.type_url());
+  if (!type) return std::nullopt;
+  Request request;
+  request.type = *type;
+  request.nonce = from.response_nonce();
+  request.subscribe = Texts(from.resource_names_subscribe());
+  request.unsubscribe = Texts(from.resource_names_unsubscribe());
+  for (const auto& [name, version] : from.initial_resource_versions())
+    request.initial_versions[name] = version;
+  if (from.has_error_detail()) request.error = from.error_detail().message();
+  return request;
+}
+
+void Fill(discovery::DiscoveryResponse& to, const Hub::Out& out, Millis lease,
+          const std::string& identifier) {
+  to.set_version_info(out.response.version);
+  to.mutable_control_plane()->set_identifier(identifier);
+  const auto add = [&](const std::string& name, const Resource* resource) {
+    to.add_resources()->PackFrom(Wrapped(out, name, resource, lease));
+  };
+  for (const ResourcePtr& resource : out.response.resources) {
+    if (IsLeased(out, resource->name)) {
+      add(resource->name, resource.get());
+    } else {
+      SetAny(to.add_resources(), *resource, out.response.type);
+    }
+  }
+  if (!out.heartbeat) return;
+  for (const std::string& name : out.leased) add(name, nullptr);
+}
+
+void Fill(discovery::DeltaDiscoveryResponse& to, const Hub::Out& out, Millis lease,
+          const std::string& identifier) {
+  to.set_system_version_info(out.response.version);
+  to.mutable_control_plane()->set_identifier(identifier);
+  for (const ResourcePtr& resource : out.response.resources) {
+    *to.add_resources() = Wrapped(out, resource->name, resource.get(), lease);
+  }
+  for (const std::string& name : out.response.removed) to.add_removed_resources(name);
+  if (!out.heartbeat) return;
+  for (const std::string& name : out.leased) *to.add_resources() = Wrapped(out, name, nullptr, lease);
+}
+
+}  // namespace opalswitch::xds
--- /dev/null
+++ b/src/xds/wire.hpp
@@ -0,0 +1,36 @@
+// ADS messages from and to the forms that the hub decides on. Pure.
+#ifndef OPALSWITCH_XDS_WIRE_HPP_
+#define OPALSWITCH_XDS_WIRE_HPP_
+
+#include <optional>
+#include <string>
+
+#include "xds/hub.hpp"
+
+namespace envoy::config::core::v3 {
+class Node;
+}
+namespace envoy::service::discovery::v3 {
+class DeltaDiscoveryRequest;
+class DeltaDiscoveryResponse;
+class DiscoveryRequest;
+class DiscoveryResponse;
+}  // namespace envoy::service::discovery::v3
+
+namespace opalswitch::xds {
+
+ProxyNode ToNode(const envoy::config::core::v3::Node& node);
+
+// Nothing if the type is none that this service has.
+std::optional<Request> ToRequest(const envoy::service::discovery::v3::DiscoveryRequest& from);
+std::optional<Request> ToRequest(const envoy::service::discovery::v3::DeltaDiscoveryRequest& from);
+
+// `lease`: the time to live, in ms, of what is leased.
+void Fill(envoy::service::discovery::v3::DiscoveryResponse& to, const Hub::Out& out, Millis lease,
+          const std::string& identifier);
+void Fill(envoy::service::discovery::v3::DeltaDiscoveryResponse& to, const Hub::Out& out, Millis lease,
+          const std::string& identifier);
+
+}  // namespace opalswitch::xds
+
+#endif  // OPALSWITCH_XDS_WIRE_HPP_
--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -16,22 +16,6 @@
 
 constexpr char kExample[] = SOURCE_FOLDER "/deploy/services.example.toml";
 
-struct Said {
-  int code = -1;
-  std::string text;  // both streams
-};
-
-Said Forkwick(const std::string& arguments) {
-  Said said;
-  std::FILE* const pipe = popen((std::string(FORKWICK_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
-  if (pipe == nullptr) return said;
-  char part[4096];
-  for (std::size_t got = 0; (got = std::fread(part, 1, sizeof part, pipe)) > 0;) said.text.append(part, got);
-  const int status = pclose(pipe);
-  said.code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-  return said;
-}
-
 std::string Saved(const std::string& name, const std::string& text) {
   const std::string path = ::testing::TempDir() + "forkwick-" + std::to_string(getpid()) + "-" + name;
   std::ofstream(path + ".new") << text;
@@ -40,44 +24,45 @@
 }
 
 TEST(Command, ChecksAFileAndTellsByItsExitCode) {
-  const Said good = Forkwick(std::string("check ") + kExample);
+  const Said good = RunProgram(std::string("check ") + kExample);
   EXPECT_EQ(good.code, 0) << good.text;
   EXPECT_NE(good.text.find("3 pools, 5 routes"), std::string::npos) << good.text;
   const std::string path = Saved("bad.toml", "[[pool]]\nid = \"p\"\nwhat = 1\n");
-  const Said bad = Forkwick("check " + path);
+  const Said bad = RunProgram("check " + path);
   EXPECT_EQ(bad.code, 1);
   EXPECT_NE(bad.text.find(path + ":3:1: pool.p.what: unknown key"), std::string::npos) << bad.text;
-  const Said json = Forkwick("check --json " + path);
+  const Said json = RunProgram("check --json " + path);
   EXPECT_EQ(json.code, 1);
   const auto parsed = nlohmann::json::parse(json.text);
   EXPECT_FALSE(parsed["valid"]);
   EXPECT_EQ(parsed["issues"].size(), 5u);
-  EXPECT_EQ(Forkwick("check /no/such/file").code, 1);
-  EXPECT_EQ(Forkwick("check").code, 2);
-  EXPECT_EQ(Forkwick("dance").code, 2);
-  EXPECT_EQ(Forkwick("--help").code, 0);
+  EXPECT_EQ(RunProgram("check /no/such/file").code, 1);
+  EXPECT_EQ(RunProgram("check").code, 2);
+  EXPECT_EQ(RunProgram("dance").code, 2);
+  EXPECT_EQ(RunProgram("--help").code, 0);
   std::remove(path.c_str());
 }
 
 TEST(Command, ExplainsWhichRouteTakesARequest) {
   const std::string file = std::string("route ") + kExample;
-  const Said menus = Forkwick(file + " --host Menus.Galicia.Example.org:80 --path /today");
+  const Said menus = RunProgram(file + " --host Menus.Galicia.Example.org:80 --path /today");
   EXPECT_EQ(menus.code, 0);
   EXPECT_EQ(menus.text, "route menus: pool menus, class view, path /today\n");
-  const Said change = Forkwick(file + " --host baskets.galicia.example.org --path /x/../week --method POST");
+  const Said change =
+      RunProgram(file + " --host baskets.galicia.example.org --path /x/../week --method POST");
   EXPECT_EQ(change.code, 0);
   EXPECT_NE(change.text.find(
                 "  not basket-view: method POST is not GET, HEAD\nroute basket-change: pool baskets, class "
                 "change, path /week\n"),
             std::string::npos)
       << change.text;
-  const Said none = Forkwick(file + " --host nowhere.org --path /a");
+  const Said none = RunProgram(file + " --host nowhere.org --path /a");
   EXPECT_EQ(none.code, 3);
   EXPECT_NE(none.text.find("no route: 404"), std::string::npos);
-  const Said twofold = Forkwick(file + " --host nowhere.org --path /a%2f..%2fslots");
+  const Said twofold = RunProgram(file + " --host nowhere.org --path /a%2f..%2fslots");
   EXPECT_EQ(twofold.code, 3);
   EXPECT_NE(twofold.text.find("refused with 400"), std::string::npos) << twofold.text;
-  EXPECT_EQ(Forkwick(file + " --path nothing").code, 2);
+  EXPECT_EQ(RunProgram(file + " --path nothing").code, 2);
 }
 
 // Guards a gateway in service: SIGHUP takes a good file whole, a broken one changes nothing, SIGTERM ends it
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -17,6 +17,23 @@
 
 namespace opalswitch::testing {
 
+// A run of the program to its end.
+struct Said {
+  int code = -1;
+  std::string text;  // both streams
+};
+
+inline Said RunProgram(const std::string& arguments) {
+  Said said;
+  std::FILE* const pipe = popen((std::string(FORKWICK_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
+  if (pipe == nullptr) return said;
+  char part[4096];
+  for (std::size_t got = 0; (got = std::fread(part, 1, sizeof part, pipe)) > 0;) said.text.append(part, got);
+  const int status = pclose(pipe);
+  said.code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return said;
+}
+
 class Process {
  public:
   using Variables = std::vector<std::pair<std::string, std::string>>;
@@ -27,7 +44,9 @@
   };
   explicit Process(const Arguments& arguments) : Process(Variables{}, arguments) {}
   Process(const Variables& variables, const Arguments& arguments)
-      : errors_(::testing::TempDir() + "forkwick-err-" + std::to_string(getpid())), pid_(fork()) {
+      : errors_(::testing::TempDir() + "forkwick-err-" + std::to_string(getpid()) + "-" +
+                std::to_string(++count_)),
+        pid_(fork()) {
     if (pid_ != 0) return;
     for (const auto& [name, value] : variables) setenv(name.c_str(), value.c_str(), 1);
     if (std::freopen(errors_.c_str(), "w", stderr) == nullptr) _exit(99);
@@ -44,6 +63,7 @@
   }
 
   void Terminate() { kill(pid_, SIGTERM); }
+  void Kill() { kill(pid_, SIGKILL); }
   void HangUp() { kill(pid_, SIGHUP); }
   bool Ended() {
     if (!ended_) ended_ = waitpid(pid_, &status_, WNOHANG) == pid_;
@@ -60,6 +80,7 @@
   }
 
  private:
+  static inline int count_ = 0;
   const std::string errors_;
   const pid_t pid_;
   int status_ = 0;
--- a/tests/services_config_test.cpp
+++ b/tests/services_config_test.cpp
@@ -5,8 +5,8 @@
 #include <random>
 #include <sstream>
 
-#include "config/services.hpp"
 #include "config/units.hpp"
+#include "services_text.hpp"
 
 namespace opalswitch::testing {
 namespace {
@@ -15,20 +15,7 @@
 
 // A good file with one line more, or one line other.
 std::string File(const std::string& more = "") {
-  return R"([[listener]]
-id = "in"
-address = "127.0.0.1:0"
-[[class]]
-id = "view"
-effect = "safe"
-aim = "400ms"
-deadline = "800ms"
-[[class]]
-id = "change"
-effect = "unsafe"
-aim = "1s"
-deadline = "5s"
-[[pool]]
+  return kListenerAndClasses + R"([[pool]]
 id = "one"
 host = [{ id = "a", address = "127.0.0.1:9001" }]
 )" + more +
--- a/tests/standins/xds_client.hpp
+++ b/tests/standins/xds_client.hpp
@@ -5,24 +5,29 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "envoy/config/endpoint/v3/endpoint.pb.h"
 #include "envoy/service/discovery/v3/ads.grpc.pb.h"
+#include "envoy/service/load_stats/v3/lrs.grpc.pb.h"
 #include "xds/snapshot.hpp"
 
 namespace opalswitch::testing {
 
 namespace discovery = envoy::service::discovery::v3;
+namespace stats = envoy::service::load_stats::v3;
 
 class XdsClient {
  public:
@@ -42,6 +47,7 @@
 
   // Opens a stream, with a connection of its own. What it holds already it says (delta).
   void Connect() {
+    ignores_ = false;
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     channel_ = grpc::CreateCustomChannel("127.0.0.1:" + std::to_string(port_),
@@ -74,6 +80,9 @@
     Introduce(request);
     request.set_type_url(std::string(xds::TypeUrl(type)));
     for (const std::string& name : names) request.add_resource_names_subscribe(name);
+    std::erase_if(held_[type], [](const auto& entry) {
+      return entry.second.until && Clock::now() >= *entry.second.until;
+    });
     for (const auto& [name, held] : held_[type])
       (*request.mutable_initial_resource_versions())[name] = held.version;
     changes_->Write(request);
@@ -95,28 +104,98 @@
   int answers(xds::Type type) { return answers_[type]; }
   int heartbeats() const { return heartbeats_; }
   std::vector<xds::Type> order() const { return order_; }
-  // Whether it may route to the endpoint now.
-  bool Routes(const std::string& pool, const std::string& address) {
+  // From now on answers are neither read nor answered; what it holds it goes by, until its lease is over.
+  void Ignore() { ignores_ = true; }
+
+  // From now on it keeps when it may have routed to which endpoint of the pool, if its address begins so. To
+  // be called before Connect.
+  void RecordUse(std::string pool, std::string begin) {
+    recorded_pool_ = std::move(pool);
+    recorded_begin_ = std::move(begin);
+  }
+  // The last moment of the span at which it may have routed to the endpoint; nothing if it could at none.
+  std::optional<Clock::time_point> LastUse(const std::string& address, Clock::time_point from,
+                                           Clock::time_point to) {
     const std::lock_guard lock(mutex_);
+    std::optional<Clock::time_point> last;
+    for (auto at = uses_.begin(); at != uses_.end(); ++at) {
+      if (!at->addresses.contains(address)) continue;
+      const auto next = std::next(at);
+      auto end = std::min(at->until, to);
+      if (next != uses_.end()) end = std::min(end, next->since);
+      if (end > from && at->since < to) last = end;
+    }
+    // What ended long ago is asked for no more.
+    while (uses_.size() > 1 && std::next(uses_.begin())->since < from - std::chrono::seconds(5))
+      uses_.pop_front();
+    return last;
+  }
+
+  // Whether it may route to the endpoint now. `locked`: by `holds`.
+  bool Routes(const std::string& pool, const std::string& address, bool locked = false) {
+    std::unique_lock lock(mutex_, std::defer_lock);
+    if (!locked) lock.lock();
     const auto found = held_[xds::Type::kEndpoint].find(pool);
     if (found == held_[xds::Type::kEndpoint].end()) return false;
     if (found->second.until && Clock::now() >= *found->second.until) return false;
+    return WeightIn(found->second, address) > 0;
+  }
+  // The same, whatever its lease: for what it was told. From `holds`, or once it has waited.
+  bool RoutesAsHeld(const std::string& pool, const std::string& address) {
+    const auto found = held_[xds::Type::kEndpoint].find(pool);
+    return found != held_[xds::Type::kEndpoint].end() && WeightIn(found->second, address) > 0;
+  }
+  // Of an endpoint that it may route to; 0 if it may not.
+  std::uint32_t Weight(const std::string& pool, const std::string& address) {
+    const std::lock_guard lock(mutex_);
+    const auto found = held_[xds::Type::kEndpoint].find(pool);
+    return found == held_[xds::Type::kEndpoint].end() ? 0 : WeightIn(found->second, address);
+  }
+
+  std::function<Reply(xds::Type, const std::vector<std::string>& names)> reply = [](auto, auto&) {
+    return Reply::kAck;
+  };
+
+ private:
+  static std::uint32_t WeightIn(const Held& held, const std::string& address) {
     envoy::config::endpoint::v3::ClusterLoadAssignment list;
-    if (!list.ParseFromString(found->second.bytes)) return false;
+    if (!list.ParseFromString(held.bytes)) return 0;
     for (const auto& locality : list.endpoints()) {
       for (const auto& endpoint : locality.lb_endpoints()) {
         const bool usable = endpoint.health_status() == envoy::config::core::v3::HEALTHY;
-        if (usable && endpoint.endpoint().address().socket_address().address() == address) return true;
+        if (usable && endpoint.endpoint().address().socket_address().address() == address)
+          return endpoint.load_balancing_weight().value();
       }
     }
-    return false;
+    return 0;
   }
 
-  std::function<Reply(xds::Type, const std::vector<std::string>& names)> reply = [](auto, auto&) {
-    return Reply::kAck;
-  };
+  // What it goes by from now on.
+  void Record() {
+    Use use;
+    use.since = Clock::now();
+    const auto found = held_[xds::Type::kEndpoint].find(recorded_pool_);
+    if (found != held_[xds::Type::kEndpoint].end()) {
+      use.until = found->second.until.value_or(Clock::time_point::max());
+      if (!uses_.empty() && uses_.back().version == found->second.version) {
+        use.addresses = uses_.back().addresses;
+      } else {
+        envoy::config::endpoint::v3::ClusterLoadAssignment list;
+        list.ParseFromString(found->second.bytes);
+        for (const auto& locality : list.endpoints()) {
+          for (const auto& endpoint : locality.lb_endpoints()) {
+            const std::string& address = endpoint.endpoint().address().socket_address().address();
+            if (endpoint.health_status() == envoy::config::core::v3::HEALTHY &&
+                address.starts_with(recorded_begin_))
+              use.addresses.insert(address);
+          }
+        }
+      }
+      use.version = found->second.version;
+    }
+    uses_.push_back(std::move(use));
+  }
 
- private:
   template <typename Message>
   void Introduce(Message& request) {
     if (!std::exchange(first_, false)) return;
@@ -179,7 +258,7 @@
             const std::vector<discovery::Resource>& resources, const std::vector<std::string>& removed) {
     const std::lock_guard lock(mutex_);
     const auto type = xds::TypeOf(url);
-    if (!type) return;
+    if (!type || ignores_) return;
     order_.push_back(*type);
     std::vector<std::string> names;
     bool beat = !resources.empty();
@@ -204,6 +283,7 @@
         }
       }
       for (const std::string& name : removed) held_[*type].erase(name);
+      if (!recorded_pool_.empty() && *type == xds::Type::kEndpoint) Record();
     }
     if (what != Reply::kNothing) {
       const std::string& said = what == Reply::kStale ? before : nonce;
@@ -239,11 +319,73 @@
   std::map<xds::Type, std::map<std::string, Held>> held_;
   std::map<xds::Type, int> answers_;
   std::vector<xds::Type> order_;
+  struct Use {
+    Clock::time_point since, until;
+    std::string version;
+    std::set<std::string> addresses;
+  };
+  std::string recorded_pool_, recorded_begin_;
+  std::deque<Use> uses_;
   int heartbeats_ = 0;
+  std::atomic<bool> ignores_{false};
   bool ended_ = false;
   grpc::Status status_;
 };
 
+// A proxy's load reports, true or not.
+class LoadReporter {
+ public:
+  struct Counts {
+    std::uint64_t served, failed;
+    double latency_ms;
+  };
+  LoadReporter(int port, std::string id)
+      : id_(std::move(id)),
+        stub_(stats::LoadReportingService::NewStub(
+            grpc::CreateChannel("127.0.0.1:" + std::to_string(port), grpc::InsecureChannelCredentials()))) {}
+  ~LoadReporter() {
+    context_.TryCancel();
+    if (stream_) stream_->Finish();
+  }
+
+  // Gives how often it is asked to report, in ms; 0 if it is asked nothing.
+  int Begin() {
+    stream_ = stub_->StreamLoadStats(&context_);
+    stats::LoadStatsRequest request;
+    request.mutable_node()->set_id(id_);
+    stream_->Write(request);
+    stats::LoadStatsResponse response;
+    if (!stream_->Read(&response)) return 0;
+    const auto& interval = response.load_reporting_interval();
+    return static_cast<int>(interval.seconds() * 1000 + interval.nanos() / 1000000);
+  }
+  bool Report(const std::string& pool, const std::map<std::string, Counts>& hosts) {
+    stats::LoadStatsRequest request;
+    auto* const cluster = request.add_cluster_stats();
+    cluster->set_cluster_name(pool);
+    cluster->mutable_load_report_interval()->set_nanos(100000000);
+    auto* const locality = cluster->add_upstream_locality_stats();
+    for (const auto& [address, counts] : hosts) {
+      auto* const endpoint = locality->add_upstream_endpoint_stats();
+      endpoint->mutable_address()->mutable_socket_address()->set_address(address);
+      endpoint->mutable_address()->mutable_socket_address()->set_port_value(80);
+      endpoint->set_total_successful_requests(counts.served);
+      endpoint->set_total_error_requests(counts.failed);
+      auto* const metric = endpoint->add_load_metric_stats();
+      metric->set_metric_name("latency_ms");
+      metric->set_num_requests_finished_with_metric(counts.served + counts.failed);
+      metric->set_total_metric_value(counts.latency_ms * static_cast<double>(counts.served + counts.failed));
+    }
+    return stream_->Write(request);
+  }
+
+ private:
+  const std::string id_;
+  std::unique_ptr<stats::LoadReportingService::Stub> stub_;
+  grpc::ClientContext context_;
+  std::unique_ptr<grpc::ClientReaderWriter<stats::LoadStatsRequest, stats::LoadStatsResponse>> stream_;
+};
+
 }  // namespace opalswitch::testing
 
 #endif  // OPALSWITCH_TESTS_STANDINS_XDS_CLIENT_HPP_
--- a/tests/xds_hub_test.cpp
+++ b/tests/xds_hub_test.cpp
@@ -22,7 +22,9 @@
 std::shared_ptr<const Snapshot> Lists(const std::map<std::string, std::string>& versions) {
   std::array<Resources, xds::kTypes> all;
   for (const auto& [name, version] : versions) {
-    all[1][name] = std::make_shared<Resource>(Resource{name, version, version, {}});
+    static std::uint64_t serials = 0;
+    all[static_cast<std::size_t>(Type::kEndpoint)][name] =
+        std::make_shared<Resource>(Resource{name, version, version, {}, ++serials});
   }
   return std::make_shared<Snapshot>(std::move(all));
 }
@@ -34,6 +36,13 @@
   return request;
 }
 
+// Whom a drain that is in this list waits for.
+std::vector<Hub::Waiting> WaitingFor(const Hub& hub, const std::shared_ptr<const Snapshot>& drained,
+                                     Millis now) {
+  const auto& list = drained->of(Type::kEndpoint).at("p");
+  return hub.WaitingFor("p", {{"", Type::kEndpoint, "p", list->serial}}, now);
+}
+
 // A proxy: it takes messages as they arrive, and goes by a list only while its lease runs.
 struct Proxy {
   std::string version;  // of the list that it goes by
@@ -172,17 +181,18 @@
   for (int i = 0; i < 200; ++i) world.Step();
   world.Drop(0, 0);
   world.proxies[1].answers = false;
-  world.Deliver(world.hub.Publish("", Lists({{"p", "2"}}), true, world.now));
-  auto waiting = world.hub.WaitingFor("p", "2", world.now);
+  const auto drained = Lists({{"p", "2"}});
+  world.Deliver(world.hub.Publish("", drained, true, world.now));
+  auto waiting = WaitingFor(world.hub, drained, world.now);
   EXPECT_EQ(waiting.size(), 3u);
   for (int i = 0; i < 100; ++i) world.Step();
-  waiting = world.hub.WaitingFor("p", "2", world.now);
+  waiting = WaitingFor(world.hub, drained, world.now);
   ASSERT_EQ(waiting.size(), 2u);
   std::set<std::string> names;
   for (const auto& w : waiting) names.insert(w.proxy);
   EXPECT_EQ(names, (std::set<std::string>{"proxy-0", "proxy-1"}));
   for (int i = 0; i < 400; ++i) world.Step();
-  EXPECT_TRUE(world.hub.WaitingFor("p", "2", world.now).empty());
+  EXPECT_TRUE(WaitingFor(world.hub, drained, world.now).empty());
 }
 
 TEST(XdsHub, AStaticPoolHasNoLeaseAndItsDrainWaitsForTheProxy) {
@@ -192,8 +202,63 @@
   const auto first = hub.Take(1, {"a", "", ""}, Subscribe("p"), 0);
   ASSERT_EQ(first.size(), 1u);
   EXPECT_TRUE(first[0].leased.empty());
-  hub.Publish("", Lists({{"p", "2"}}), true, 100);
-  EXPECT_EQ(hub.WaitingFor("p", "2", 100000).size(), 1u);
+  const auto drained = Lists({{"p", "2"}});
+  hub.Publish("", drained, true, 100);
+  EXPECT_EQ(WaitingFor(hub, drained, 100000).size(), 1u);
+  hub.Closed(1, 100001);  // a proxy that is lost with it may go on for ever
+  EXPECT_EQ(WaitingFor(hub, drained, 1e12).size(), 1u);
+  ASSERT_TRUE(hub.Open(2, Session::Form::kDelta, 2e12));
+  const auto told = hub.Take(2, {"a", "", ""}, Subscribe("p"), 2e12);
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_EQ(WaitingFor(hub, drained, 2e12).size(), 1u);
+  Request ack;
+  ack.type = Type::kEndpoint;
+  ack.nonce = told[0].response.nonce;
+  hub.Take(2, {"a", "", ""}, ack, 2e12);
+  EXPECT_TRUE(WaitingFor(hub, drained, 2e12).empty());  // it is back, and has taken the drain in
+}
+
+// Guards a strict pool's proxies against an outage that outlasts their lease: they have let go of the list.
+TEST(XdsHub, AProxyWhoseLeaseRanOutIsToldAgainOnceItListens) {
+  World world(9, 1);
+  for (int i = 0; i < 200; ++i) world.Step();
+  world.proxies[0].reads = false;
+  for (int i = 0; i < 1000; ++i) world.Step();
+  EXPECT_FALSE(world.proxies[0].Uses("1", world.now));
+  world.proxies[0].reads = true;
+  for (int i = 0; i < 500; ++i) world.Step();
+  EXPECT_TRUE(world.proxies[0].Uses("1", world.now));
+}
+
+TEST(XdsHub, AListThatAProxyHasAlreadyIsSentAgainOnlyWhereItIsALease) {
+  Hub hub({});
+  hub.SetStrict({"p"});
+  hub.Publish("", Lists({{"p", "1"}, {"q", "1"}}), true, 0);
+  ASSERT_TRUE(hub.Open(1, Session::Form::kDelta, 0));
+  Request back;
+  back.type = Type::kEndpoint;
+  back.subscribe = {"p", "q"};
+  back.initial_versions = {{"p", "1"}, {"q", "1"}};
+  const auto told = hub.Take(1, {"a", "", ""}, back, 0);
+  ASSERT_EQ(told.size(), 1u);
+  ASSERT_EQ(told[0].response.resources.size(), 1u);
+  EXPECT_EQ(told[0].leased, std::vector<std::string>{"p"});
+  // A pool that is no longer strict, and one that is now.
+  hub.SetStrict({"q"});
+  const auto again = hub.Publish("", Lists({{"p", "1"}, {"q", "1"}}), true, 1);
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].response.resources.size(), 2u);
+  EXPECT_EQ(again[0].leased, std::vector<std::string>{"q"});
+}
+
+TEST(XdsHub, ADrainAfterARestartWaitsForLeasesOfTheEarlierRun) {
+  Hub hub({}, /*begun=*/1000);
+  hub.SetStrict({"p"});
+  const auto drained = Lists({{"p", "2"}});
+  hub.Publish("", drained, true, 1000);
+  ASSERT_EQ(WaitingFor(hub, drained, 1399).size(), 1u);
+  EXPECT_EQ(WaitingFor(hub, drained, 1399)[0].until, 1400);
+  EXPECT_TRUE(WaitingFor(hub, drained, 1400).empty());
 }
 
 TEST(XdsHub, TwoHundredProxiesThatReconnectAtOnceDelayNoDrain) {
@@ -202,7 +267,8 @@
   for (std::size_t i = 0; i < 200; ++i) world.Drop(i, 0);
   for (std::size_t i = 0; i < 200; ++i) world.Connect(i);
   const Millis drained = world.now;
-  world.Deliver(world.hub.Publish("", Lists({{"p", "2"}}), true, world.now));
+  const auto list = Lists({{"p", "2"}});
+  world.Deliver(world.hub.Publish("", list, true, world.now));
   double worst = 0;
   for (int i = 0; i < 600; ++i) {
     world.Step();
@@ -211,7 +277,7 @@
     }
   }
   EXPECT_LT(worst, 100);  // all were told
-  EXPECT_TRUE(world.hub.WaitingFor("p", "2", world.now).empty());
+  EXPECT_TRUE(WaitingFor(world.hub, list, world.now).empty());
 }
 
 TEST(XdsHub, ChangesThatAreNotUrgentGoTogether) {
--- /dev/null
+++ b/tests/xds_load_report_test.cpp
@@ -0,0 +1,138 @@
+// What proxies report: read from their messages, and brought to one word a host that no liar makes up.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <limits>
+#include <random>
+
+#include "envoy/service/load_stats/v3/lrs.pb.h"
+#include "xds/evidence.hpp"
+#include "xds/load_report.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+using xds::EndpointLoad;
+using xds::Evidence;
+namespace stats = envoy::service::load_stats::v3;
+
+EndpointLoad Load(double served, double failed, double out = 0, Millis latency = 0) {
+  EndpointLoad load;
+  load.served = served;
+  load.failed = failed;
+  load.in_progress = out;
+  load.latency = latency;
+  return load;
+}
+
+TEST(XdsLoadReport, ReadsEndpointsLocalitiesAndLatencies) {
+  stats::LoadStatsRequest request;
+  auto* const cluster = request.add_cluster_stats();
+  cluster->set_cluster_name("one");
+  cluster->mutable_load_report_interval()->set_seconds(2);
+  auto* const zone = cluster->add_upstream_locality_stats();
+  zone->mutable_locality()->set_zone("z");
+  auto* const endpoint = zone->add_upstream_endpoint_stats();
+  endpoint->mutable_address()->mutable_socket_address()->set_address("::1");
+  endpoint->mutable_address()->mutable_socket_address()->set_port_value(80);
+  endpoint->set_total_successful_requests(7);
+  endpoint->set_total_error_requests(3);
+  endpoint->set_total_requests_in_progress(2);
+  auto* const metric = endpoint->add_load_metric_stats();
+  metric->set_metric_name("latency_ms");
+  metric->set_num_requests_finished_with_metric(10);
+  metric->set_total_metric_value(250);
+  auto* const whole = cluster->add_upstream_locality_stats();
+  whole->mutable_locality()->set_sub_zone("host-2");
+  whole->set_total_error_requests(5);
+  const auto reports = xds::ReadLoads(request);
+  ASSERT_EQ(reports.size(), 1u);
+  EXPECT_EQ(reports[0].pool, "one");
+  EXPECT_EQ(reports[0].interval, 2000);
+  ASSERT_EQ(reports[0].endpoints.size(), 2u);
+  EXPECT_EQ(reports[0].endpoints[0].address, "[::1]:80");
+  EXPECT_EQ(reports[0].endpoints[0].served, 7);
+  EXPECT_EQ(reports[0].endpoints[0].failed, 3);
+  EXPECT_EQ(reports[0].endpoints[0].in_progress, 2);
+  EXPECT_EQ(reports[0].endpoints[0].latency, 25);
+  EXPECT_EQ(reports[0].endpoints[1].sub_zone, "host-2");
+  EXPECT_EQ(reports[0].endpoints[1].failed, 5);
+}
+
+TEST(XdsLoadReport, CutsWhatNoProxyCanHaveSeenAndStaysWithinItsBounds) {
+  stats::LoadStatsRequest request;
+  for (int c = 0; c < 3; ++c) {
+    auto* const cluster = request.add_cluster_stats();
+    cluster->set_cluster_name("c" + std::to_string(c));
+    cluster->mutable_load_report_interval()->set_seconds(-5);
+    auto* const zone = cluster->add_upstream_locality_stats();
+    for (int i = 0; i < 10; ++i) {
+      auto* const endpoint = zone->add_upstream_endpoint_stats();
+      endpoint->mutable_address()->mutable_socket_address()->set_address("10.0.0.1");
+      endpoint->set_total_successful_requests(std::numeric_limits<std::uint64_t>::max());
+      auto* const metric = endpoint->add_load_metric_stats();
+      metric->set_metric_name("rtt_ms");
+      metric->set_num_requests_finished_with_metric(0);
+      metric->set_total_metric_value(std::nan(""));
+    }
+  }
+  const auto reports = xds::ReadLoads(request, {2, 15});
+  ASSERT_EQ(reports.size(), 2u);
+  EXPECT_EQ(reports[0].endpoints.size() + reports[1].endpoints.size(), 15u);
+  EXPECT_GT(reports[0].interval, 0);
+  EXPECT_LE(reports[0].endpoints[0].served, 1e9);
+  EXPECT_EQ(reports[0].endpoints[0].latency, 0);
+}
+
+TEST(XdsLoadReport, OutlivesMessagesOfRandomBytes) {
+  std::mt19937 random(11);
+  for (int i = 0; i < 3000; ++i) {
+    std::string bytes(random() % 200, '\0');
+    for (char& c : bytes) c = static_cast<char>(random());
+    stats::LoadStatsRequest request;
+    if (!request.ParseFromString(bytes)) continue;
+    for (const auto& report : xds::ReadLoads(request)) {
+      EXPECT_GT(report.interval, 0);
+      for (const auto& load : report.endpoints) EXPECT_TRUE(std::isfinite(load.served + load.latency));
+    }
+  }
+}
+
+TEST(XdsEvidence, AMinorityOfLiarsMakesNoHealthyHostLookIll) {
+  for (int proxies = 2; proxies <= 9; ++proxies) {
+    for (int liars = 0; liars <= proxies; ++liars) {
+      Evidence evidence;
+      for (int i = 0; i < proxies; ++i) {
+        evidence.Heard("a", "p" + std::to_string(i), i < liars ? Load(0, 1e9) : Load(100, 1), 1000, 0);
+      }
+      const auto word = evidence.Of("a", 0, 0);
+      ASSERT_TRUE(word);
+      EXPECT_EQ(word->proxies, static_cast<std::size_t>(proxies));
+      // Of an even number half are not enough to be believed.
+      EXPECT_EQ(word->failing, 2 * liars > proxies ? 1.0 : 1.0 / 101) << liars << " of " << proxies;
+    }
+  }
+}
+
+TEST(XdsEvidence, FindsTheLatencyByLittlesLawWhereNoneIsTold) {
+  Evidence evidence;
+  evidence.Heard("a", "p", Load(1000, 0, 20), 1000, 0);  // 20 out at 1 a ms
+  EXPECT_NEAR(evidence.Of("a", 0, 0)->latency, 20, 1e-9);
+  evidence.Heard("a", "p", Load(1000, 0, 0, 7), 1000, 0);
+  EXPECT_EQ(evidence.Of("a", 0, 0)->latency, 7);
+}
+
+TEST(XdsEvidence, OldWordsFadeAndFewProxiesAreRemembered) {
+  Evidence evidence;
+  evidence.Heard("a", "old", Load(0, 10), 1000, 0);
+  EXPECT_TRUE(evidence.Of("a", 0, 9000));
+  EXPECT_FALSE(evidence.Of("a", 0, 11000));
+  EXPECT_FALSE(evidence.Of("a", 1, 1));  // from before
+  for (int i = 0; i < 1000; ++i) evidence.Heard("a", "p" + std::to_string(i), Load(10, 0), 1000, 1 + i);
+  EXPECT_EQ(evidence.Of("a", 0, 1000)->proxies, 32u);
+  evidence.Heard("b", "p", Load(0, 0, 5), 1000, 0);  // nothing was seen
+  EXPECT_FALSE(evidence.Of("b", 0, 0));
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
--- a/tests/xds_resources_test.cpp
+++ b/tests/xds_resources_test.cpp
@@ -4,10 +4,10 @@
 
 #include <random>
 
-#include "config/services.hpp"
 #include "envoy/config/cluster/v3/cluster.pb.h"
 #include "envoy/config/endpoint/v3/endpoint.pb.h"
 #include "envoy/config/route/v3/route.pb.h"
+#include "services_text.hpp"
 #include "xds/resources.hpp"
 
 namespace opalswitch::testing {
@@ -18,22 +18,9 @@
 using xds::Standing;
 using xds::Type;
 
-std::shared_ptr<const config::Services> Parsed(const std::string& routes) {
-  const std::string text = R"([[listener]]
-id = "in"
-address = "127.0.0.1:8080"
-[request]
+std::shared_ptr<const config::Services> File(const std::string& routes) {
+  return Parsed(kListenerAndClasses + R"([request]
 class_header = "Req-Kind"
-[[class]]
-id = "view"
-effect = "safe"
-aim = "400ms"
-deadline = "800ms"
-[[class]]
-id = "change"
-effect = "unsafe"
-aim = "1s"
-deadline = "5s"
 [[pool]]
 id = "one"
 host = [{ id = "a", address = "127.0.0.1:9001" }]
@@ -44,10 +31,7 @@
 [[pool]]
 id = "three"
 host = [{ id = "c", address = "127.0.0.1:9003" }]
-)" + routes;
-  const auto parsed = config::ParseServices(text, "f", "");
-  for (const config::Issue& issue : parsed.issues) ADD_FAILURE() << issue.ToText();
-  return parsed.services;
+)" + routes);
 }
 
 template <typename Message>
@@ -111,7 +95,7 @@
   for (int round = 0; round < 150; ++round) {
     std::vector<config::RouteRule> rules;
     auto services =
-        std::make_shared<config::Services>(*Parsed("[[route]]\npool = \"one\"\nclass = \"view\"\n"));
+        std::make_shared<config::Services>(*File("[[route]]\npool = \"one\"\nclass = \"view\"\n"));
     services->routes.clear();
     std::vector<routing::Route> table;
     for (std::size_t i = 0, n = 1 + random() % 12; i < n; ++i) {
@@ -150,7 +134,7 @@
 }
 
 TEST(XdsResources, ResendWhatIsSafeAndNeverWhatMayHaveRun) {
-  const auto services = Parsed(
+  const auto services = File(
       "[[route]]\nid = \"v\"\nmethods = [\"GET\"]\npool = \"one\"\nclass = \"view\"\n"
       "[[route]]\nid = \"c\"\npool = \"one\"\nclass = \"change\"\n");
   const auto snapshot = xds::BuildSnapshot(*services, {}, {});
@@ -168,7 +152,7 @@
 }
 
 TEST(XdsResources, HaveVersionsOfTheirContentAlone) {
-  const auto services = Parsed("[[route]]\npool = \"one\"\nclass = \"view\"\n");
+  const auto services = File("[[route]]\npool = \"one\"\nclass = \"view\"\n");
   xds::Assignments one = {
       {"one",
        {{"a", "z", "10.0.0.1", 80, 100, Standing::kUp}, {"b", "z", "10.0.0.2", 80, 50, Standing::kUp}}}};
--- a/tests/xds_server_test.cpp
+++ b/tests/xds_server_test.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "config/services.hpp"
+#include "services_text.hpp"
 #include "standins/xds_client.hpp"
 #include "xds/resources.hpp"
 #include "xds/server.hpp"
@@ -17,31 +17,13 @@
 using xds::Type;
 
 std::shared_ptr<const config::Services> Services() {
-  const auto parsed = config::ParseServices(R"([[listener]]
-id = "in"
-address = "127.0.0.1:8080"
-[[class]]
-id = "view"
-effect = "safe"
-aim = "400ms"
-deadline = "800ms"
-[[pool]]
+  return Parsed(kListenerAndClasses + R"([[pool]]
 id = "one"
 host = [{ address = "127.0.0.1:9001" }]
 [[pool]]
 id = "two"
 host = [{ address = "127.0.0.1:9001" }]
-[[route]]
-prefix = "/one"
-pool = "one"
-class = "view"
-[[route]]
-pool = "two"
-class = "view"
-)",
-                                            "f", "");
-  for (const config::Issue& issue : parsed.issues) ADD_FAILURE() << issue.ToText();
-  return parsed.services;
+)" + kRoutesToOneAndTwo);
 }
 
 xds::Assignments Nodes(Standing first = Standing::kUp, std::uint32_t weight = 100) {
--- a/tests/xds_session_test.cpp
+++ b/tests/xds_session_test.cpp
@@ -24,16 +24,21 @@
   return std::make_shared<Resource>(Resource{name, version, name + version, std::move(clusters)});
 }
 
+constexpr std::size_t At(Type type) { return static_cast<std::size_t>(type); }
+
+std::string VersionOf(const xds::ResourcePtr& resource) { return resource ? resource->version : ""; }
+
 // Versions by name, of each type.
 using Versions = std::map<std::string, std::string>;
 Snapshot MakeSnapshot(
     const Versions& clusters, const Versions& endpoints, const Versions& listeners = {},
     const std::map<std::string, std::pair<std::string, std::set<std::string>>>& routes = {}) {
   std::array<Resources, xds::kTypes> all;
-  for (const auto& [name, version] : clusters) all[0][name] = Made(name, version);
-  for (const auto& [name, version] : endpoints) all[1][name] = Made(name, version);
-  for (const auto& [name, version] : listeners) all[2][name] = Made(name, version);
-  for (const auto& [name, route] : routes) all[3][name] = Made(name, route.first, route.second);
+  for (const auto& [name, version] : clusters) all[At(Type::kCluster)][name] = Made(name, version);
+  for (const auto& [name, version] : endpoints) all[At(Type::kEndpoint)][name] = Made(name, version);
+  for (const auto& [name, version] : listeners) all[At(Type::kListener)][name] = Made(name, version);
+  for (const auto& [name, route] : routes)
+    all[At(Type::kRoute)][name] = Made(name, route.first, route.second);
   return Snapshot(std::move(all));
 }
 
@@ -85,8 +90,8 @@
     EXPECT_EQ(Names(*second), (Strings{"b@2", "c@1"}));
     EXPECT_EQ(second->removed, form == Form::kDelta ? Strings{"a"} : Strings{});  // else by not being listed
     session.Take(Ack(*second), two);
-    EXPECT_EQ(session.Accepted(Type::kCluster, "b"), "2");
-    EXPECT_EQ(session.Accepted(Type::kCluster, "a"), "");
+    EXPECT_EQ(VersionOf(session.Accepted(Type::kCluster, "b")), "2");
+    EXPECT_EQ(VersionOf(session.Accepted(Type::kCluster, "a")), "");
     EXPECT_FALSE(session.Next(two));
   }
 }
@@ -133,10 +138,10 @@
     ASSERT_TRUE(second);
     EXPECT_EQ(Names(*second), Strings{"a@drained"});
     session.Take(Ack(*first, {"a"}), two);
-    EXPECT_EQ(session.Accepted(Type::kEndpoint, "a"), "1");
+    EXPECT_EQ(VersionOf(session.Accepted(Type::kEndpoint, "a")), "1");
     EXPECT_FALSE(session.Next(two));
     session.Take(Ack(*second, {"a"}), two);
-    EXPECT_EQ(session.Accepted(Type::kEndpoint, "a"), "drained");
+    EXPECT_EQ(VersionOf(session.Accepted(Type::kEndpoint, "a")), "drained");
   }
 }
 
@@ -151,7 +156,7 @@
     const Snapshot two = MakeSnapshot({{"bad", "2"}, {"good", "2"}}, {});
     const auto both = session.Next(two);
     session.Take(Nack(*both), two);
-    EXPECT_EQ(session.Accepted(Type::kCluster, "good"), "1");
+    EXPECT_EQ(VersionOf(session.Accepted(Type::kCluster, "good")), "1");
     ASSERT_TRUE(session.last_rejection());
     EXPECT_EQ(session.last_rejection()->names, (Strings{"bad", "good"}));
     EXPECT_EQ(session.last_rejection()->reason, "bad resource");
@@ -162,15 +167,15 @@
       const bool bad = std::find(names.begin(), names.end(), "bad@2") != names.end();
       session.Take(bad ? Nack(*next) : Ack(*next), two);
     }
-    EXPECT_EQ(session.Accepted(Type::kCluster, "good"), "2");
-    EXPECT_EQ(session.Accepted(Type::kCluster, "bad"), "1");
+    EXPECT_EQ(VersionOf(session.Accepted(Type::kCluster, "good")), "2");
+    EXPECT_EQ(VersionOf(session.Accepted(Type::kCluster, "bad")), "1");
     EXPECT_EQ(session.nacks(), 2u);
     // A mended version is tried.
     const Snapshot three = MakeSnapshot({{"bad", "3"}, {"good", "2"}}, {});
     const auto mended = session.Next(three);
     ASSERT_TRUE(mended);
     session.Take(Ack(*mended), three);
-    EXPECT_EQ(session.Accepted(Type::kCluster, "bad"), "3");
+    EXPECT_EQ(VersionOf(session.Accepted(Type::kCluster, "bad")), "3");
   }
 }
 
--- /dev/null
+++ b/tests/xds_tls_test.cpp
@@ -0,0 +1,117 @@
+// TLS of the control service: who may connect, and certificates that change while it runs.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "envoy/service/discovery/v3/ads.grpc.pb.h"
+#include "standins/certificates.hpp"
+#include "xds/server.hpp"
+#include "xds/tls.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+namespace discovery = envoy::service::discovery::v3;
+
+struct World {
+  World() {
+    Save("server.pem", server.Pem());
+    Save("server.key", server.KeyPem());
+    Save("proxies.pem", authority.Pem());
+  }
+  ~World() {
+    for (const char* const name : {"server.pem", "server.key", "proxies.pem"})
+      std::remove(Path(name).c_str());
+  }
+  static std::string Path(const std::string& name) {
+    return ::testing::TempDir() + "forkwick-tls-" + std::to_string(getpid()) + "-" + name;
+  }
+  static void Save(const std::string& name, const std::string& text) {
+    std::ofstream(Path(name) + ".new") << text;
+    std::rename((Path(name) + ".new").c_str(), Path(name).c_str());
+  }
+  void Start(std::vector<std::string> names) {
+    config::ControlTls tls{Path("server.pem"), Path("server.key"), Path("proxies.pem"), {}};
+    xds::ServerOptions options;
+    options.credentials = xds::MakeCredentials(tls);
+    options.client_names = std::move(names);
+    control.emplace(std::move(options));
+    control->With([](xds::Hub& hub, Millis now) {
+      return hub.Publish("", std::make_shared<xds::Snapshot>(std::array<xds::Resources, xds::kTypes>()), true,
+                         now);
+    });
+  }
+  // How a proxy's stream fares that trusts `trusted`: OK if it is answered.
+  grpc::StatusCode Ask(const Certificate& trusted, const Certificate* own) {
+    grpc::SslCredentialsOptions ssl;
+    ssl.pem_root_certs = trusted.Pem();
+    if (own != nullptr) {
+      ssl.pem_cert_chain = own->Pem();
+      ssl.pem_private_key = own->KeyPem();
+    }
+    grpc::ChannelArguments arguments;
+    arguments.SetSslTargetNameOverride("control.example.org");
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    const auto channel = grpc::CreateCustomChannel("127.0.0.1:" + std::to_string(control->port()),
+                                                   grpc::SslCredentials(ssl), arguments);
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(20));
+    const auto stub = discovery::AggregatedDiscoveryService::NewStub(channel);
+    const auto stream = stub->StreamAggregatedResources(&context);
+    discovery::DiscoveryRequest request;
+    request.set_type_url(std::string(xds::TypeUrl(xds::Type::kCluster)));
+    stream->Write(request);
+    discovery::DiscoveryResponse response;
+    if (stream->Read(&response)) return grpc::StatusCode::OK;
+    return stream->Finish().error_code();
+  }
+
+  Certificate authority = MakeCertificate("authority");
+  Certificate server = MakeCertificate("control.example.org", &authority);
+  std::optional<xds::Server> control;
+};
+
+TEST(XdsTls, LetsInWhoHoldsACertificateWithAnAllowedName) {
+  World world;
+  world.Start({"edge.example.org"});
+  const auto edge = MakeCertificate("edge.example.org", &world.authority),
+             other = MakeCertificate("other.example.org", &world.authority),
+             stranger = MakeCertificate("edge.example.org");
+  EXPECT_EQ(world.Ask(world.authority, &edge), grpc::StatusCode::OK);
+  EXPECT_EQ(world.Ask(world.authority, &other), grpc::StatusCode::PERMISSION_DENIED);
+  EXPECT_EQ(world.Ask(world.authority, nullptr), grpc::StatusCode::UNAVAILABLE);
+  EXPECT_EQ(world.Ask(world.authority, &stranger), grpc::StatusCode::UNAVAILABLE);
+}
+
+TEST(XdsTls, TakesANewCertificateWithoutARestart) {
+  World world;
+  world.Start({});
+  const auto edge = MakeCertificate("edge", &world.authority);
+  const auto next_authority = MakeCertificate("next authority");
+  ASSERT_EQ(world.Ask(world.authority, &edge), grpc::StatusCode::OK);
+  EXPECT_EQ(world.Ask(next_authority, &edge), grpc::StatusCode::UNAVAILABLE);
+  const auto next = MakeCertificate("control.example.org", &next_authority);
+  World::Save("server.key", next.KeyPem());
+  World::Save("server.pem", next.Pem());
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+  grpc::StatusCode code = grpc::StatusCode::UNKNOWN;
+  while (code != grpc::StatusCode::OK && std::chrono::steady_clock::now() < end)
+    code = world.Ask(next_authority, &edge);
+  EXPECT_EQ(code, grpc::StatusCode::OK);
+}
+
+TEST(XdsTls, NamesTheFileThatCannotBeUsed) {
+  World world;
+  config::ControlTls tls{World::Path("server.pem"), World::Path("none.key"), "", {}};
+  try {
+    xds::MakeCredentials(tls);
+    ADD_FAILURE();
+  } catch (const std::runtime_error& error) {
+    EXPECT_NE(std::string(error.what()).find("none.key: can't be read"), std::string::npos) << error.what();
+  }
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
