--- a/src/membership/node_registry.cpp
+++ b/src/membership/node_registry.cpp
@@ -95,6 +95,16 @@
   return list;
 }
 
+std::optional<Host> NodeRegistry::HostOf(PoolId pool, const std::string& id) const {
+  const auto view = views_.find(pool);
+  if (view == views_.end()) return std::nullopt;
+  const auto found = view->second.find(id);
+  if (found == view->second.end()) return std::nullopt;
+  Host host = found->second;
+  host.server.state = StateOf(found->second);
+  return host;
+}
+
 std::vector<NodeRegistry::PoolId> NodeRegistry::PoolsOf(const std::string& id) const {
   std::vector<PoolId> pools;
   for (const auto& [pool, hosts] : views_) {
--- a/src/membership/node_registry.hpp
+++ b/src/membership/node_registry.hpp
@@ -43,6 +43,8 @@
   const std::map<std::string, Drain>& drains() const { return drains_; }
   // The pool's hosts as its source has them, with the drains of all; a complete list.
   HostList ViewOf(PoolId pool) const;
+  // One of them; nothing if the pool's source does not list it.
+  std::optional<Host> HostOf(PoolId pool, const std::string& id) const;
   // Pools whose sources list the node.
   std::vector<PoolId> PoolsOf(const std::string& id) const;
 
--- a/src/xds/control.cpp
+++ b/src/xds/control.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Millis kLookEvery = 50;        // at weights and failing hosts
+constexpr Millis kLookPerHost = 0.05;    // the same, by the number of a pool's hosts
 constexpr std::size_t kMostGone = 1000;  // nodes that left a pool while they drained, and are remembered
 
 // Whether what is to be told of an endpoint differs enough from what was.
@@ -84,8 +85,12 @@
   }
   groups_.push_back({});
   std::array<std::map<std::string, EndpointParts>, kForms> parts;
+  std::map<std::string, std::vector<Assigned>> endpoints;
   for (auto& [id, pool] : pools_) {
-    pool->told = pool->decider.Endpoints();
+    endpoints[id] = pool->decider.Endpoints();
+    pool->told.clear();
+    pool->zones.clear();
+    for (const Assigned& endpoint : endpoints[id]) SetTold(*pool, endpoint.id, &endpoint);
     pool->published = pool->listed;
   }
   for (const Group& group : groups_) {
@@ -93,7 +98,7 @@
     if (!of_form.empty()) continue;
     for (const auto& [id, pool] : pools_) {
       of_form[id] = pool->listed
-                        ? BuildEndpoints(id, pool->told, OptionsOf(group.form), parts_[group.form][id])
+                        ? BuildEndpoints(id, endpoints[id], OptionsOf(group.form), parts_[group.form][id])
                         : UnknownEndpoints(id, OptionsOf(group.form));
     }
   }
@@ -121,7 +126,11 @@
     out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
   }
   out_since_.clear();
-  for (const auto& [id, pool] : pools_) NoteOut(id, *pool);
+  for (const auto& [id, pool] : pools_) {
+    std::set<std::string> hosts;
+    for (const auto& [host, endpoint] : pool->told) hosts.insert(host);
+    NoteOut(id, *pool, hosts);
+  }
   return out;
 }
 
@@ -172,62 +181,121 @@
 
 Control::Outs Control::Tick(Millis now) {
   Outs out;
-  const bool look = now - looked_at_ >= kLookEvery;
-  if (look) looked_at_ = now;
   for (auto& [id, pool] : pools_) {
     pool->decider.Tick(now);
     for (const std::string& line : pool->decider.log()) say_("pool " + id + ": " + line);
     pool->decider.ClearLog();
-    if (!look) continue;
+    const Millis every = std::max(kLookEvery, kLookPerHost * static_cast<double>(pool->decider.size()));
+    if (now - pool->looked_at < every) continue;
+    pool->looked_at = now;
     Outs more = Publish(id, *pool, now);
     out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
   }
   return out;
 }
 
+void Control::SetTold(Pool& pool, const std::string& host, const Assigned* to) {
+  const auto found = pool.told.find(host);
+  if (found != pool.told.end()) {
+    const auto zone = pool.zones.find(found->second.zone);
+    if (--zone->second == 0) pool.zones.erase(zone);
+    if (to == nullptr) pool.told.erase(found);
+  }
+  if (to == nullptr) return;
+  pool.told[host] = *to;
+  ++pool.zones[to->zone];
+}
+
 Control::Outs Control::Publish(const std::string& id, Pool& pool, Millis now) {
   if (!pool.listed) return {};  // an empty list would have proxies let go of what they have
-  std::vector<Assigned> next = pool.decider.Endpoints();
-  std::map<std::string, const Assigned*> was;
-  for (const Assigned& endpoint : pool.told) was[endpoint.id] = &endpoint;
-  bool urgent = false;
-  std::size_t changed = 0, stayed = 0;
-  for (Assigned& endpoint : next) {
-    const auto found = was.find(endpoint.id);
-    if (found == was.end()) {
-      ++changed;
-      continue;
-    }
-    ++stayed;
-    const Assigned& before = *found->second;
-    if (!Differs(before, endpoint, services_->control.threshold)) {
-      endpoint = before;
-      continue;
+  std::map<std::string, Assigned> was;
+  std::set<std::string> changed, there;
+  bool urgent = !std::exchange(pool.published, true);  // proxies have waited for it
+  for (const Assigned& endpoint : pool.decider.Endpoints()) {
+    there.insert(endpoint.id);
+    const auto found = pool.told.find(endpoint.id);
+    if (found != pool.told.end()) {
+      const Assigned& before = found->second;
+      if (!Differs(before, endpoint, services_->control.threshold)) continue;
+      urgent = urgent || before.address != endpoint.address || before.port != endpoint.port ||
+               (before.standing != Standing::kDraining && endpoint.standing == Standing::kDraining);
+      was[endpoint.id] = before;
     }
-    ++changed;
-    urgent = urgent || (before.standing != Standing::kDraining && endpoint.standing == Standing::kDraining) ||
-             before.address != endpoint.address || before.port != endpoint.port;
+    changed.insert(endpoint.id);
+    SetTold(pool, endpoint.id, &endpoint);
   }
-  urgent = urgent || stayed < pool.told.size();
-  urgent = urgent || !std::exchange(pool.published, true);  // proxies have waited for it
-  if (changed == 0 && !urgent) return {};
-  pool.told = std::move(next);
+  std::vector<std::string> gone;
+  for (const auto& [host, endpoint] : pool.told) {
+    if (!there.contains(host)) gone.push_back(host);
+  }
+  for (const std::string& host : gone) {
+    was[host] = pool.told.at(host);
+    changed.insert(host);
+    SetTold(pool, host, nullptr);
+  }
+  urgent = urgent || !gone.empty();
+  if (changed.empty() && !urgent) return {};
+  return Tell(id, pool, was, changed, urgent, now);
+}
+
+Control::Outs Control::PublishOut(const std::string& id, Pool& pool, const std::set<std::string>& hosts,
+                                  Millis now) {
+  std::map<std::string, Assigned> was;
+  std::set<std::string> changed;
+  for (const std::string& host : hosts) {
+    const auto found = pool.told.find(host);
+    const auto state = pool.decider.StateOf(host);
+    if (found == pool.told.end() || state == ServerState::kUp) continue;
+    Assigned next = found->second;
+    if (state && next.standing == Standing::kDraining) continue;
+    was[host] = found->second;
+    changed.insert(host);
+    next.standing = Standing::kDraining;
+    next.weight = 1;
+    SetTold(pool, host, state ? &next : nullptr);
+  }
+  pool.looked_at = std::min(pool.looked_at, now - kLookEvery);  // what else there is, soon
+  if (changed.empty()) return {};
+  return Tell(id, pool, was, changed, /*urgent=*/true, now);
+}
+
+Control::Outs Control::Tell(const std::string& id, Pool& pool, const std::map<std::string, Assigned>& was,
+                            const std::set<std::string>& changed, bool urgent, Millis now) {
   std::array<Snapshot::Changes, kForms> changes;
   for (std::size_t form = 0; form < kForms; ++form) {
     if (parts_[form].empty()) continue;
-    EndpointParts& before = parts_[form][id];
-    EndpointParts after = BuildEndpoints(id, pool.told, OptionsOf(static_cast<Form>(form)), before);
-    auto& lists = changes[form][static_cast<std::size_t>(Type::kEndpoint)];
+    const ResourceOptions options = OptionsOf(static_cast<Form>(form));
+    EndpointParts& parts = parts_[form][id];
+    const ResourcePtr list = parts.list;
     auto& members = changes[form][static_cast<std::size_t>(Type::kMember)];
-    if (after.list != before.list) lists[id] = after.list;
-    for (const auto& [name, member] : after.members) {
-      const auto found = before.members.find(name);
-      if (found == before.members.end() || found->second != member) members[name] = member;
-    }
-    for (const auto& [name, member] : before.members) {
-      if (!after.members.contains(name)) members[name] = nullptr;
+    if (form == kEach) {
+      if (list->unknown) {  // what stood for all that was not known yet
+        for (const auto& [name, unknown] : parts.members) members[name] = nullptr;
+        parts.members.clear();
+      }
+      std::set<std::string> zones;
+      for (const auto& [zone, count] : pool.zones) zones.insert(zone);
+      parts.list = BuildCollections(id, zones, options, list);
+      for (const std::string& host : changed) {
+        const auto before = was.find(host);
+        const auto after = pool.told.find(host);
+        const std::string old_name = before == was.end() ? "" : MemberName(id, before->second);
+        const std::string name = after == pool.told.end() ? "" : MemberName(id, after->second);
+        if (!old_name.empty() && old_name != name) {
+          members[old_name] = nullptr;
+          parts.members.erase(old_name);
+        }
+        if (name.empty()) continue;
+        ResourcePtr& member = parts.members[name];
+        const ResourcePtr made = BuildMember(id, after->second, member);
+        if (made != member) members[name] = member = made;
+      }
+    } else {
+      std::vector<Assigned> endpoints;
+      for (const auto& [host, endpoint] : pool.told) endpoints.push_back(endpoint);
+      parts = BuildEndpoints(id, endpoints, options, parts);
     }
-    before = std::move(after);
+    if (parts.list != list) changes[form][static_cast<std::size_t>(Type::kEndpoint)][id] = parts.list;
   }
   Outs out;
   for (Group& group : groups_) {
@@ -236,20 +304,22 @@
     Outs more = hub_.Publish(group.id, group.told, urgent, now);
     out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
   }
-  NoteOut(id, pool);
+  NoteOut(id, pool, changed);
   return out;
 }
 
-void Control::NoteOut(const std::string& id, const Pool& pool) {
+void Control::NoteOut(const std::string& id, const Pool& pool, const std::set<std::string>& hosts) {
   auto& since = out_since_[id];
-  std::set<std::string> there;
-  for (const Assigned& endpoint : pool.told) {
-    there.insert(endpoint.id);
+  for (const std::string& host : hosts) {
+    const auto found = pool.told.find(host);
+    if (found == pool.told.end())
+      continue;  // gone: the lists without it count, those since its drain as well
+    const Assigned& endpoint = found->second;
     if (endpoint.standing != Standing::kDraining) {
-      since.erase(endpoint.id);
+      since.erase(host);
       continue;
     }
-    auto& needs = since[endpoint.id];
+    auto& needs = since[host];
     if (!needs.empty()) continue;  // it drains since an earlier list
     for (const Group& group : groups_) {
       if (!group.pools.empty() && !group.pools.contains(id)) continue;
@@ -265,42 +335,31 @@
         needs.push_back({group.id, Type::kMember, name, member->second->serial});
     }
   }
-  // Of a node that has left, drained or not, the lists without it count; few are remembered.
-  for (const auto& [node, needs] : since) {
-    if (there.contains(node)) continue;
-    if (since.size() > there.size() + kMostGone) {
-      since.erase(node);
-      break;
-    }
-  }
+  if (since.size() <= pool.told.size() + kMostGone) return;
+  // Few nodes that left while they drained are remembered.
+  std::erase_if(since, [&](const auto& entry) { return !pool.told.contains(entry.first); });
 }
 
-Control::Outs Control::Drain(const std::string& node, Millis now) {
-  drained_.insert(node);
+Control::Outs Control::Change(const std::string& node, Millis now) {
   Outs out;
   for (auto& [id, pool] : pools_) {
-    gateway::HostList view = nodes_.ViewOf(pool->number);
-    const bool has = std::any_of(view.hosts.begin(), view.hosts.end(),
-                                 [&](const gateway::Host& host) { return host.server.id == node; });
-    if (!has) continue;
-    Give(id, *pool, view, now);
-    Outs more = Publish(id, *pool, now);
+    const auto host = nodes_.HostOf(pool->number, node);
+    if (!host) continue;
+    Give(id, *pool, {0, false, {*host}}, now);
+    Outs more = PublishOut(id, *pool, {node}, now);
     out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
   }
   return out;
 }
 
+Control::Outs Control::Drain(const std::string& node, Millis now) {
+  drained_.insert(node);
+  return Change(node, now);
+}
+
 Control::Outs Control::Undrain(const std::string& node, Millis now) {
   if (drained_.erase(node) == 0) return {};
-  Outs out;
-  for (auto& [id, pool] : pools_) {
-    const gateway::HostList view = nodes_.ViewOf(pool->number);
-    if (view.hosts.empty()) continue;
-    Give(id, *pool, view, now);
-    Outs more = Publish(id, *pool, now);
-    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
-  }
-  return out;
+  return Change(node, now);
 }
 
 bool Control::Knows(const std::string& node) const { return !nodes_.PoolsOf(node).empty(); }
--- a/src/xds/control.hpp
+++ b/src/xds/control.hpp
@@ -63,9 +63,11 @@
     std::string definition;
     gateway::NodeRegistry::PoolId number = 0;
     Decider decider;
-    bool listed = false;         // its membership has told of it
-    bool published = false;      // and proxies were told
-    std::vector<Assigned> told;  // as last published
+    bool listed = false;                       // its membership has told of it
+    bool published = false;                    // and proxies were told
+    std::map<std::string, Assigned> told;      // as last published, by id
+    std::map<std::string, std::size_t> zones;  // of these, and how many each has
+    Millis looked_at = 0;                      // when weights and failing hosts were last held against it
   };
   // How endpoints are worded for a group. Groups with the same form share all of them.
   enum Form { kPlain, kGrpc, kEach, kForms };
@@ -76,12 +78,22 @@
     std::shared_ptr<const Snapshot> told;
   };
 
+  // The operators' drain of a node has begun or ended.
+  Outs Change(const std::string& node, Millis now);
   void Give(const std::string& id, Pool& pool, const gateway::HostList& list, Millis now);
   void Give(const std::vector<gateway::NodeRegistry::News>& news, Millis now);
-  // Tells of a pool's endpoints if they differ enough from what was told.
+  // Tells of a pool's endpoints if they differ enough from what was told. Costs what the pool has.
   Outs Publish(const std::string& id, Pool& pool, Millis now);
-  // Notes which nodes can't be sent to, from which resource on.
-  void NoteOut(const std::string& id, const Pool& pool);
+  // Tells which of these hosts can't be sent to any more; additions wait for the next look. Costs what the
+  // hosts cost, where proxies are told endpoint by endpoint.
+  Outs PublishOut(const std::string& id, Pool& pool, const std::set<std::string>& hosts, Millis now);
+  // A pool's endpoint becomes another, or none.
+  static void SetTold(Pool& pool, const std::string& host, const Assigned* to);
+  // Has the hub tell of what has changed in `told`, by id; `was` has what these were.
+  Outs Tell(const std::string& id, Pool& pool, const std::map<std::string, Assigned>& was,
+            const std::set<std::string>& changed, bool urgent, Millis now);
+  // Notes of these hosts which can't be sent to, from which resource on.
+  void NoteOut(const std::string& id, const Pool& pool, const std::set<std::string>& hosts);
   ResourceOptions OptionsOf(Form form) const;
   const std::string& GroupOf(const ProxyNode& node) const;
 
@@ -97,7 +109,6 @@
   std::array<std::map<std::string, EndpointParts>, kForms> parts_;  // by pool; of forms that are in use
   // Since which resource a node can't be sent to: by pool, by node, for each form's list or member.
   std::map<std::string, std::map<std::string, std::vector<Hub::Need>>> out_since_;
-  Millis looked_at_ = 0;
 };
 
 }  // namespace opalswitch::xds
--- a/src/xds/decider.cpp
+++ b/src/xds/decider.cpp
@@ -50,33 +50,30 @@
     const std::string& id = host.server.id;
     named.insert(id);
     if (host.server.state == ServerState::kGone) {
-      hosts_.erase(id);
-      evidence_.Forget(id);
+      Drop(id);
       continue;
     }
     const auto [entry, added] = hosts_.try_emplace(id);
     Known& known = entry->second;
     const bool other =
         added || host.server.started_at > known.host.server.started_at || host.address != known.host.address;
+    if (!added && host.address != known.host.address) Unplace(id, known);
     if (other) {  // nothing that was said of another process holds for this one
       evidence_.Forget(id);
       known = Known();
       known.replaced_at = now;
     }
     known.host = host;
+    // Of two at one address the one that is up counts: the other drains, or is gone.
+    const auto [place, free] = by_address_.try_emplace(TextOf(host.address), id);
+    if (!free && host.server.state == ServerState::kUp) place->second = id;
   }
   if (list.complete) {
-    std::erase_if(hosts_, [&](const auto& entry) {
-      if (named.contains(entry.first)) return false;
-      evidence_.Forget(entry.first);
-      return true;
-    });
-  }
-  by_address_.clear();
-  for (const auto& [id, known] : hosts_) {
-    // Of two at one address the one that is up counts: the other drains, or is gone.
-    const auto [entry, added] = by_address_.try_emplace(TextOf(known.host.address), id);
-    if (!added && known.host.server.state == ServerState::kUp) entry->second = id;
+    std::vector<std::string> left;
+    for (const auto& [id, known] : hosts_) {
+      if (!named.contains(id)) left.push_back(id);
+    }
+    for (const std::string& id : left) Drop(id);
   }
   ServerNews news;
   news.kind = list.complete ? ServerNews::Kind::kFull : ServerNews::Kind::kDelta;
@@ -86,6 +83,25 @@
   Carry(actions, now);
 }
 
+void Decider::Unplace(const std::string& id, const Known& known) {
+  const auto place = by_address_.find(TextOf(known.host.address));
+  if (place != by_address_.end() && place->second == id) by_address_.erase(place);
+}
+
+void Decider::Drop(const std::string& id) {
+  const auto found = hosts_.find(id);
+  if (found == hosts_.end()) return;
+  Unplace(id, found->second);
+  hosts_.erase(found);
+  evidence_.Forget(id);
+}
+
+std::optional<ServerState> Decider::StateOf(const std::string& host) const {
+  const auto found = hosts_.find(host);
+  if (found == hosts_.end()) return std::nullopt;
+  return found->second.host.server.state;
+}
+
 void Decider::Heard(const std::string& proxy, const LoadReport& report, Millis now) {
   for (const EndpointLoad& load : report.endpoints) {
     std::string id = load.sub_zone;  // gRPC's clients: each endpoint is a locality, named by its id
--- a/src/xds/decider.hpp
+++ b/src/xds/decider.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -35,6 +36,9 @@
 
   // The pool's endpoints, in the order of their ids.
   std::vector<Assigned> Endpoints() const;
+  // What the membership says of one, at the cost of one; nothing if it is not of the pool.
+  std::optional<ServerState> StateOf(const std::string& host) const;
+  std::size_t size() const { return hosts_.size(); }
 
   struct HostStatus {
     std::string id, address;
@@ -68,6 +72,8 @@
     bool operator>(const Ending& other) const { return at > other.at; }
   };
 
+  void Drop(const std::string& id);
+  void Unplace(const std::string& id, const Known& known);
   void Ask(Millis now);
   void Carry(std::vector<Action>& actions, Millis now);
   void Sent(const Send& send, Millis now);
--- a/src/xds/resources.cpp
+++ b/src/xds/resources.cpp
@@ -245,6 +245,15 @@
   return Collections(pool) + "zone-" + UriPart(zone) + "/";
 }
 
+envoy::config::endpoint::v3::ClusterLoadAssignment EmptyList(const std::string& pool,
+                                                             const ResourceOptions& options) {
+  envoy::config::endpoint::v3::ClusterLoadAssignment list;
+  list.set_cluster_name(pool);
+  if (options.stale_after > 0)
+    SetDuration(list.mutable_policy()->mutable_endpoint_stale_after(), options.stale_after);
+  return list;
+}
+
 void SetMember(envoy::config::endpoint::v3::LbEndpoint* to, const Assigned& endpoint) {
   auto* const address = to->mutable_endpoint()->mutable_address()->mutable_socket_address();
   address->set_address(endpoint.address);
@@ -268,38 +277,51 @@
   return Collection(pool, endpoint.zone) + UriPart(endpoint.id);
 }
 
+ResourcePtr BuildMember(const std::string& pool, const Assigned& endpoint, const ResourcePtr& before) {
+  envoy::config::endpoint::v3::LbEndpoint member;
+  SetMember(&member, endpoint);
+  return Kept(MakeResource(MemberName(pool, endpoint), Bytes(member)), before);
+}
+
+ResourcePtr BuildCollections(const std::string& pool, const std::set<std::string>& zones,
+                             const ResourceOptions& options, const ResourcePtr& before) {
+  auto list = EmptyList(pool, options);
+  for (const std::string& zone : zones) {
+    auto* const locality = list.add_endpoints();
+    locality->mutable_locality()->set_zone(zone);
+    auto* const leds = locality->mutable_leds_cluster_locality_config();
+    SetAds(leds->mutable_leds_config());
+    leds->set_leds_collection_name(Collection(pool, zone) + "*");
+  }
+  return Kept(MakeResource(pool, Bytes(list)), before);
+}
+
 EndpointParts BuildEndpoints(const std::string& pool, const std::vector<Assigned>& endpoints,
                              const ResourceOptions& options, const EndpointParts& before) {
-  envoy::config::endpoint::v3::ClusterLoadAssignment all;
-  all.set_cluster_name(pool);
-  if (options.stale_after > 0)
-    SetDuration(all.mutable_policy()->mutable_endpoint_stale_after(), options.stale_after);
+  EndpointParts parts;
+  if (options.each_endpoint) {
+    std::set<std::string> zones;
+    for (const Assigned& endpoint : endpoints) {
+      zones.insert(endpoint.zone);
+      const std::string name = MemberName(pool, endpoint);
+      const auto found = before.members.find(name);
+      parts.members[name] =
+          BuildMember(pool, endpoint, found == before.members.end() ? nullptr : found->second);
+    }
+    parts.list = BuildCollections(pool, zones, options, before.list);
+    return parts;
+  }
+  auto all = EmptyList(pool, options);
   // In an order of their own, by zone. gRPC clients go by the weights of localities alone: each endpoint is
   // one to them.
   std::map<std::pair<std::string, std::string>, std::map<std::string, const Assigned*>> places;
   for (const Assigned& endpoint : endpoints) {
     places[{endpoint.zone, options.grpc_clients ? endpoint.id : ""}][endpoint.id] = &endpoint;
   }
-  EndpointParts parts;
   for (const auto& [place, members] : places) {
     auto* const locality = all.add_endpoints();
     locality->mutable_locality()->set_zone(place.first);
     locality->mutable_locality()->set_sub_zone(place.second);
-    if (options.each_endpoint) {
-      const std::string collection = Collection(pool, place.first);
-      auto* const leds = locality->mutable_leds_cluster_locality_config();
-      SetAds(leds->mutable_leds_config());
-      leds->set_leds_collection_name(collection + "*");
-      for (const auto& [id, endpoint] : members) {
-        envoy::config::endpoint::v3::LbEndpoint member;
-        SetMember(&member, *endpoint);
-        const std::string name = MemberName(pool, *endpoint);
-        const auto found = before.members.find(name);
-        parts.members[name] =
-            Kept(MakeResource(name, Bytes(member)), found == before.members.end() ? nullptr : found->second);
-      }
-      continue;
-    }
     std::uint64_t sum = 0;
     for (const auto& [id, endpoint] : members) {
       SetMember(locality->add_lb_endpoints(), *endpoint);
--- a/src/xds/resources.hpp
+++ b/src/xds/resources.hpp
@@ -57,8 +57,12 @@
 // In the place of a pool's endpoints that are not known yet: proxies keep what they have.
 EndpointParts UnknownEndpoints(const std::string& pool, const ResourceOptions& options);
 
-// The name of an endpoint as a member of its collection.
+// The name of an endpoint as a member of its collection, and the member.
 std::string MemberName(const std::string& pool, const Assigned& endpoint);
+ResourcePtr BuildMember(const std::string& pool, const Assigned& endpoint, const ResourcePtr& before);
+// The list that leads to the collections of these zones.
+ResourcePtr BuildCollections(const std::string& pool, const std::set<std::string>& zones,
+                             const ResourceOptions& options, const ResourcePtr& before);
 
 // The clusters of all pools, and the listeners and routes to them.
 std::array<Resources, kTypes> BuildRouting(const config::Services& services, const ResourceOptions& options);
--- a/tests/standins/xds_client.hpp
+++ b/tests/standins/xds_client.hpp
@@ -54,6 +54,7 @@
                                          grpc::InsecureChannelCredentials(), arguments);
     const auto stub = discovery::AggregatedDiscoveryService::NewStub(channel_);
     context_ = std::make_unique<grpc::ClientContext>();
+    context_->set_wait_for_ready(true);  // a connection that fails is tried again, as by any proxy
     ended_ = false;
     if (delta_) {
       changes_ = stub->DeltaAggregatedResources(context_.get());
--- a/tests/xds_server_test.cpp
+++ b/tests/xds_server_test.cpp
@@ -186,6 +186,73 @@
   EXPECT_EQ(second.status().error_code(), grpc::StatusCode::RESOURCE_EXHAUSTED);
 }
 
+// A proxy that reads nothing is dropped, not buffered, and the others are told as ever.
+TEST(XdsServerLimits, DropsAProxyThatNeverReads) {
+  xds::ServerOptions options;
+  options.queued_bytes = 256 * 1024;
+  World world(options);
+  XdsClient good(world.server->port(), true, "good");
+  world.SubscribeToAll(good);
+  ASSERT_TRUE(good.Await([&] { return World::Whole(good); }));
+  const auto channel = grpc::CreateChannel("127.0.0.1:" + std::to_string(world.server->port()),
+                                           grpc::InsecureChannelCredentials());
+  grpc::ClientContext context;
+  const auto stub = discovery::AggregatedDiscoveryService::NewStub(channel);
+  const auto never_read = stub->DeltaAggregatedResources(&context);
+  discovery::DeltaDiscoveryRequest request;
+  request.set_type_url(std::string(xds::TypeUrl(Type::kEndpoint)));
+  request.add_resource_names_subscribe("one");
+  never_read->Write(request);
+  ASSERT_TRUE(world.Await([](const auto& figures) { return figures.streams == 2; }));
+  std::vector<xds::Assigned> many;
+  for (int i = 0; i < 4000; ++i)
+    many.push_back({"node-" + std::to_string(i), "", "10.0.0.1", 80, 100, Standing::kUp});
+  for (std::uint32_t weight = 1; weight < 7; ++weight) {
+    many[0].weight = weight;
+    world.Publish({{"one", many}, {"two", {}}}, true);
+  }
+  EXPECT_TRUE(world.Await([](const auto& figures) { return figures.streams == 1; }));
+  world.Publish(Nodes(Standing::kDraining), true);
+  EXPECT_TRUE(good.Await(
+      [&] { return !good.RoutesAsHeld("one", "10.0.0.1") && good.RoutesAsHeld("one", "10.0.0.2"); }));
+  context.TryCancel();
+}
+
+TEST(XdsServerLimits, TwoHundredProxiesThatReconnectAtOnceAreAllToldOfADrain) {
+  World world;
+  std::vector<std::unique_ptr<XdsClient>> proxies;
+  const auto each = [&](auto work) {  // of the proxies, by eight threads
+    std::vector<std::thread> threads;
+    for (std::size_t t = 0; t < 8; ++t) {
+      threads.emplace_back([&, t] {
+        for (std::size_t i = t; i < proxies.size(); i += 8) work(*proxies[i]);
+      });
+    }
+    for (std::thread& thread : threads) thread.join();
+  };
+  for (int i = 0; i < 200; ++i)
+    proxies.push_back(
+        std::make_unique<XdsClient>(world.server->port(), i % 2 == 0, "proxy-" + std::to_string(i)));
+  const auto connect = [](XdsClient& proxy) {
+    proxy.Connect();
+    proxy.Subscribe(Type::kEndpoint, {"one", "two"});
+  };
+  each(connect);
+  for (const auto& proxy : proxies)
+    ASSERT_TRUE(proxy->Await([&] { return proxy->RoutesAsHeld("one", "10.0.0.1") || proxy->ended(); }))
+        << proxy->answers(Type::kEndpoint);
+  for (const auto& proxy : proxies) EXPECT_FALSE(proxy->ended()) << proxy->status().error_message();
+  std::thread drain([&] { world.Publish(Nodes(Standing::kDraining), true); });  // in the middle of it
+  each([&](XdsClient& proxy) {
+    proxy.Drop();
+    connect(proxy);
+  });
+  drain.join();
+  for (const auto& proxy : proxies)
+    EXPECT_TRUE(proxy->Await([&] { return !proxy->RoutesAsHeld("one", "10.0.0.1"); }));
+  EXPECT_TRUE(world.Await([](const auto& figures) { return figures.streams == 200; }));
+}
+
 TEST(XdsServerLimits, SpeaksPlaintextOnLoopbackAlone) {
   xds::ServerOptions options;
   options.address = "0.0.0.0:0";
