The module at 10,000 servers: an index of ready servers, sums by increments, no rate wall

Now servers that may be ready stand in an index (src/fleet.hpp) from which two are drawn; full, resting and cold ones are kept apart until their event or time; sums are kept by increments; the rate grows beyond its start while it is used up.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <limits>
 
+#include "fleet.hpp"
 #include "state.hpp"
 
 namespace opalswitch {
@@ -18,6 +19,8 @@
 constexpr double kStartRate = 1000;     // tokens/s a server: "starting high", far above any use
 constexpr double kRaise = 0.3;          // tokens/s gained by each timely answer
 constexpr double kRaiseShare = 0.05;    // part of the rate gained by it at the most
+constexpr double kUsedUp = 0.8;         // part of the rate that must be spent for it to grow beyond its start
+constexpr double kSink = 0.999;         // part kept at each answer while less is spent there
 constexpr double kCut = 0.85;           // the rate keeps this much at a cut
 constexpr double kTolerated = 0.2;      // failing share of recent outcomes that cuts the rate
 constexpr double kToleratedMany = 0.1;  // the same where many share a server: none sees much, all add up
@@ -69,6 +72,11 @@
 constexpr Millis kDoubt = 500;           // ms of each server's time that a first few answers are spread over
 constexpr Millis kSpentMemory = 1000;    // ms over which the spent rate is smoothed
 constexpr Millis kLongMemory = 10000;    // ms, the same where a few requests a second must give a rate
+constexpr std::size_t kFewServers = 64;  // that are gone through one by one
+constexpr std::size_t kStretch = 256;    // of more, that are gone through at the most
+constexpr int kMostLooks = 32;     // draws in vain before that; also trials, and rests that end, at once
+constexpr Millis kMostRest = 100;  // ms until a cold server's credit is looked at again
+constexpr Millis kSubsetPerServer = 0.02;  // ms for each server between two choices of a large fleet's subset
 constexpr double kFailMemory =
     0.05;  // least weight of an outcome in the fleet's failing share; else about a second's
 
@@ -131,46 +139,78 @@
       return;
     }
     ask_gap_ = 0;
-    if (news.kind == ServerNews::Kind::kFull) {
-      for (auto& [id, b] : servers_) b.up = false;
+    const bool full = news.kind == ServerNews::Kind::kFull;
+    if (full) {
+      for (auto& [id, b] : servers_) b.up = false, gone_.insert(id);
+      up_ = 0;
     }
-    for (const Server& s : news.servers) Learn(s);
-    for (auto it = servers_.begin(); it != servers_.end();) {
-      it = !it->second.up && it->second.refs == 0 ? servers_.erase(it) : std::next(it);
+    for (const Server& s : news.servers) {
+      Backend& b = Learn(s);
+      if (!full) ChooseSubset(&b);
+    }
+    if (full) ChooseSubset();
+    for (auto it = gone_.begin(); it != gone_.end();) {
+      const auto found = servers_.find(*it);
+      const bool up = found != servers_.end() && found->second.up;
+      const bool forget = found != servers_.end() && !up && found->second.refs == 0;
+      if (forget) {
+        fleet_.Remove(found->second);
+        servers_.erase(found);
+      }
+      it = up || forget || found == servers_.end() ? gone_.erase(it) : std::next(it);
     }
-    up_ = 0;
-    for (auto& [id, b] : servers_) up_ += b.up;
-    ChooseSubset();
   }
 
+  void Place(Backend& b) { fleet_.Place(b, now_, b.cold_since + set_.cold_for); }
+
   // Subsetting: where many gateways share the servers each keeps to a few, for a few requests a second over
   // all tell nothing of any, and connections fill the servers' tables. Gateways start by the golden ratio of
   // their index: any run of them covers the ring, on which kinds lie evenly. The next comes in for one that
-  // is ejected.
-  void ChooseSubset() {
-    OrderRing();
-    const double all = static_cast<double>(ring_.size());
+  // is ejected. `only`: nothing but this server has changed.
+  void ChooseSubset(Backend* only = nullptr) {
+    const double all = up_;
     const double part = set_.streams > 1 ? kHeldPart : 1;
     const double wanted = part * std::max(kLeastServers, kSharers * all / set_.gateways);
+    const bool whole = wanted >= all;
+    if (!whole && only != nullptr && all > kFewServers && now_ < subset_at_) {
+      subset_due_ = true;  // of a large fleet the subset follows in a while; whoever is not up is out at once
+      return Place(*only);
+    }
+    const bool many = sharers_ > kManySharers;
     sharers_ = std::max(1.0, set_.gateways * std::min(1.0, wanted / std::max(1.0, all)));
+    if (whole && whole_ && only != nullptr && many == (sharers_ > kManySharers)) {
+      only->mine = only->up;
+      return Place(*only);
+    }
+    whole_ = whole;
+    subset_due_ = false;
+    subset_at_ = now_ + kSubsetPerServer * all;
+    OrderRing();
     double chosen = 0;
     for (std::size_t i = 0; i < ring_.size() && chosen < wanted; ++i) {
       Backend& b = *ring_[(i + static_cast<std::size_t>(place_ * all)) % ring_.size()].second;
       b.mine = true;
       chosen += !b.suspect;
     }
+    for (auto& [id, b] : servers_) Place(b);
   }
 
-  void Learn(const Server& s) {
+  Backend& Learn(const Server& s) {
     const auto [entry, added] = servers_.try_emplace(s.id);
     Backend& b = entry->second;
     const bool restarted = added || s.started_at > b.info.started_at;
+    if (added) b.order = ++ordered_;
     b.info = s;
     b.kind = &kinds_[s.kind];
     b.hash = Hash(s.id);
+    up_ -= b.up;
     b.up = s.state == ServerState::kUp;
+    up_ += b.up;
+    if (!b.up) gone_.insert(s.id);
     if (!(b.info.weight > 0) || !std::isfinite(b.info.weight)) b.info.weight = 1;
     if (restarted) Renew(b, s.started_at > 0 ? s.started_at : kNever);  // 0: up for long
+    ++measured_;
+    return b;
   }
 
   // A new process: cold, and nothing known of the old one holds for it.
@@ -208,15 +248,10 @@
   // What a warm server of size 1 answers to this gateway, per ms: answers, not sends, for in a jam more is
   // sent than any server can do. Where none was warm yet: its part of what arrives.
   void LearnReference(Millis passed) {
-    double all = 0;
-    const double keep = std::exp(-passed / kLongMemory);
-    warm_time_ *= keep;
+    const double keep = std::exp(-passed / kLongMemory), all = fleet_.weight();
+    fleet_.Warm(now_);
+    warm_time_ = warm_time_ * keep + passed * fleet_.warm_weight();
     warm_served_ *= keep;
-    for (const auto& [id, b] : servers_) {
-      if (!b.up || b.suspect) continue;
-      all += b.info.weight;
-      if (Warmth(b) >= 1) warm_time_ += passed * b.info.weight;
-    }
     reference_ = warm_time_ > 0 ? warm_served_ / (warm_time_ + kDoubt * all) : arriving_ / std::max(1.0, all);
   }
 
@@ -232,12 +267,12 @@
   }
 
   void Suspect(Backend& b) {
-    if (!std::exchange(b.suspect, true)) {
-      Say("server " + b.info.id + " not ready: failing");
-      ChooseSubset();
-    }
+    const bool was = std::exchange(b.suspect, true);
     b.next_trial = now_ + b.trial_gap * (0.75 + 0.5 * Uniform());
     b.trial_gap = std::min(b.trial_gap * 2, kTrialGapMost);
+    if (was) return;
+    Say("server " + b.info.id + " not ready: failing");
+    ChooseSubset(&b);
   }
 
   // How far a server's report says that it is too busy for many gateways, none knowing what the others send
@@ -289,7 +324,7 @@
       if (b.lost) Renew(b, now_);
       if (!b.suspect) {
         Say("server " + b.info.id + " ready again");
-        ChooseSubset();
+        ChooseSubset(&b);
       }
     } else if (!served && !heavy && (b.failing > OutAbove() || b.suspect)) {
       Suspect(b);
@@ -308,6 +343,7 @@
   // Learns the limit of own requests that a server takes uncrowded, from how its latency grows.
   void Measure(Backend& b, double sample, bool served) {
     ++b.samples;
+    ++measured_;
     b.latency += std::max(kFast, 1.0 / b.samples) * (sample - b.latency);
     Kind& k = *b.kind;
     ++k.samples;
@@ -362,23 +398,65 @@
     return c.group == Group::kAll || at.cell == b.info.cell;
   }
 
+  // Whether the server is ready for nobody now. Then it is kept apart until its time, or an event, may change
+  // that: so a choice meets few that are not ready, however many there are.
+  bool Shut(Backend& b) {
+    if (sharers_ <= kManySharers) {
+      if (now_ < b.rests_until) return fleet_.Rest(b, b.rests_until), true;
+      if (b.in_flight >= b.places) return fleet_.Close(b), true;
+    }
+    if (WithinBudget(b)) return false;
+    const double per_ms = kColdShare * set_.fall_multiple * Warmth(b) * b.info.weight * reference_;
+    const Millis wait = (1 - b.cold_credit) / std::max(per_ms, 1e-9);
+    return fleet_.Rest(b, now_ + std::clamp(wait, 1.0, kMostRest)), true;
+  }
+
+  // A chance one of the ready servers, each as likely as any other: whoever is not ready is drawn in vain.
+  // Where few of the many fit, a stretch of them is gone through.
+  template <typename May>
+  Backend* Sample(const Flow& flow, May may, const Backend* except) {
+    const auto fits = [&](Backend& b) { return &b != except && may(b) && Ready(b, flow.in_share); };
+    for (int tries = 0; tries < kMostLooks && fleet_.open() > 0;) {
+      Backend& b = fleet_.At(random_() % fleet_.open());
+      if (Shut(b)) continue;  // paid for by what opened it
+      if (fits(b)) return &b;
+      ++tries;
+    }
+    const std::size_t all = fleet_.open(), first = all > 0 ? random_() % all : 0;
+    for (std::size_t i = 0; i < std::min(all, kStretch); ++i) {
+      Backend& b = fleet_.At((first + i) % all);
+      if (fits(b)) return &b;
+    }
+    return nullptr;
+  }
+
   // The better of two ready servers by (own in-flight + 1) x smoothed latency, or null.
   Backend* Pick(const Flow& flow) {
     const bool repeatable = classes_[flow.cls].set.effect == Effect::kSafe && flow.attempts.empty();
     const Backend* last = flow.attempts.empty() ? nullptr : flow.attempts.back().server;
+    const auto may = [&](const Backend& b) { return &b != last && Allowed(flow, b); };
+    // A suspect returns by one trial at a time, with a request that may run again.
+    if (repeatable) {
+      const auto fits = [&](Backend& b) { return may(b) && WithinBudget(b); };
+      if (Backend* const b = fleet_.Trial(now_, kMostLooks, fits)) return b;
+    }
+    fleet_.Wake(now_, kMostLooks);
+    const bool by_key = set_.warm_keys && flow.key != 0;
+    if (!by_key && fleet_.open() > kFewServers) {
+      Backend* const one = Sample(flow, may, nullptr);
+      Backend* const two = one == nullptr ? nullptr : Sample(flow, may, one);
+      return two != nullptr && Cost(*two) < Cost(*one) ? two : one;
+    }
     candidates_.clear();
-    for (auto& [id, b] : servers_) {
-      if (!b.mine || !b.up || &b == last || !Allowed(flow, b)) continue;
-      // A suspect returns by one trial at a time, with a request that may run again.
-      if (b.suspect) {
-        if (repeatable && now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) return &b;
-        continue;
-      }
-      if (Ready(b, flow.in_share)) candidates_.push_back({0, &b});
+    for (std::size_t i = 0; i < fleet_.open();) {
+      Backend& b = fleet_.At(i);
+      if (Shut(b)) continue;  // another is in its place now
+      if (may(b) && Ready(b, flow.in_share)) candidates_.push_back({0, &b});
+      ++i;
     }
     if (candidates_.empty()) return nullptr;
     if (candidates_.size() > 2) {
-      if (set_.warm_keys && flow.key != 0) {
+      if (by_key) {
         // Weighted rendezvous: lowest first; a server's coming or going moves only its own keys.
         for (auto& [rank, b] : candidates_) rank = -std::log(Fraction(flow.key ^ b->hash)) / b->info.weight;
         std::partial_sort(candidates_.begin(), candidates_.begin() + 2, candidates_.end(),
@@ -419,11 +497,7 @@
   // It could hurt where limits are too high for what servers can do, until their latency has taught better.
   bool Crowded() const {
     if (sharers_ > kManySharers) return true;  // there no limit is kept
-    double places = 0;
-    for (const auto& [id, b] : servers_) {
-      if (b.mine && b.up && !b.suspect) places += b.limit;
-    }
-    return out_now_ >= kInUse * places;
+    return out_now_ >= kInUse * fleet_.limits();
   }
 
   // Failures that one server explains eject it; only those of servers held ready move the rate.
@@ -437,7 +511,11 @@
     const bool timely = served && now_ <= flow.aim_at;
     failing_ += std::clamp(1 / (1 + rate_), kFailMemory, kErrWeight) * ((timely ? 0.0 : 1.0) - failing_);
     if (timely) {
-      rate_ = std::min(rate_ + std::min(kRaise, kRaiseShare * rate_), kStartRate * std::max(1, up_));
+      // Beyond where it started it grows only while it is used up, and sinks
+      // back there while it is not.
+      const double start = kStartRate * std::max(1, up_);
+      const double raised = rate_ + std::min(kRaise, kRaiseShare * rate_);
+      rate_ = raised <= start || Spent() >= kUsedUp * rate_ ? raised : std::max(start, rate_ * kSink);
     } else if (failing_ > (sharers_ > kManySharers ? kToleratedMany : kTolerated) && now_ >= cut_after_ &&
                Crowded()) {
       rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, Spent()) * kCut);
@@ -571,6 +649,7 @@
     spent_rate_ += 1000 / kSpentMemory / (sharers_ > kManySharers ? 4 : 1);
     if (Warmth(b) < 1) b.cold_credit -= 1;
     ++b.in_flight;
+    if (b.suspect) Place(b);  // one trial at a time
     ++out_now_;
     ++b.refs;
     flow.attempts.push_back({&b, now_});
@@ -592,10 +671,12 @@
     --out_now_;
     if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
     if (o.result != Result::kCancelled && o.result != Result::kNotSent) {  // these tell nothing of the server
-      MoveRate(b, flow, o);  // first: by whether the server was held ready until now
+      MoveRate(b, flow,
+               o);  // first: by whether the server was held ready until now
       Hear(b, o.load);
       Judge(b, flow, o);
     }
+    Place(b);
     if (o.finished || o.result == Result::kServed) flow.answered = true;
     if (!flow.answered && !flow.AnyOut() && !flow.queued) return TryAgain(flow, o.result);
     Settle(flow);
@@ -666,10 +747,13 @@
       Emit(Watch{});
       ask_at_ = std::numeric_limits<Millis>::infinity();
     }
+    if (subset_due_ && now_ >= subset_at_) ChooseSubset();
     LearnReference(std::min(kLongMemory, now_ - std::exchange(swept_at_, now_)));
     ExpireQueued();
   }
 
+  Fleet fleet_;
+
   void Emit(Action action) { out_->push_back(std::move(action)); }
 
   // A log line, at most a few a second: trouble must not flood the gateway's log.
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -8,6 +8,7 @@
 #include <limits>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -19,6 +20,8 @@
 namespace opalswitch {
 
 constexpr Millis kNever = -1e15;
+// Of the servers one in so many: measurements by which the median may lag.
+constexpr std::size_t kMedianPart = 16;
 
 // Throws std::invalid_argument naming the field that can't work. Returns the classes' summed worth.
 double Validate(const Settings& settings);
@@ -68,6 +71,13 @@
   Millis cold_since = kNever;
   double cold_credit = 0;  // requests that it may be sent while cold
   Millis credit_at = 0;
+  // Where the index of all has it (fleet.hpp).
+  static constexpr std::size_t kNowhere = static_cast<std::size_t>(-1);
+  static constexpr Millis kNoTime = 1e300;
+  std::uint64_t order = 0;  // in which it was first told
+  std::size_t open_at = kNowhere;
+  Millis wakes_at = kNoTime, tried_at = kNoTime, warms_at = kNoTime;
+  double counted_weight = 0, counted_warm = 0, counted_limit = 0;
 };
 
 struct Attempt {
@@ -152,6 +162,14 @@
   std::size_t queued_ = 0;
   std::vector<std::pair<double, Backend*>> ring_;
   double place_ = 0;    // of this gateway on the ring of servers
+  bool whole_ = false;  // it uses all servers
+  bool subset_due_ = false;
+  Millis subset_at_ = kNever;   // not chosen anew before
+  std::set<std::string> gone_;  // servers that are not up, and are remembered still
+  std::uint64_t ordered_ = 0;   // servers told of so far
+  std::size_t measured_ = 0;    // latencies that changed since the median was found
+  double median_ = 0;
+  bool median_found_ = false;
   double sharers_ = 1;  // gateways that use each server
 
   Flow* Find(const std::string& id) {
@@ -193,15 +211,19 @@
     });
   }
 
+  // Of all latencies. Of many servers it is found anew only after a part of them has been measured again: a
+  // few measurements move it little, and each then costs the same.
   double Median() {
+    if (measured_ * kMedianPart < servers_.size() && std::exchange(median_found_, true)) return median_;
+    measured_ = 0;
     scratch_.clear();
     for (auto& [id, b] : servers_) {
       if (b.up && b.latency > 0) scratch_.push_back(b.latency);
     }
-    if (scratch_.empty()) return 0;
+    if (scratch_.empty()) return median_ = 0;
     const auto middle = scratch_.begin() + static_cast<std::ptrdiff_t>(scratch_.size() / 2);
     std::nth_element(scratch_.begin(), middle, scratch_.end());
-    return *middle;
+    return median_ = *middle;
   }
 
   // A class's latency over the mean of all: 1 until something was learned.
--- a/tests/xds_server_test.cpp
+++ b/tests/xds_server_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "services_text.hpp"
+#include "standins/cutting_relay.hpp"
 #include "standins/xds_client.hpp"
 #include "xds/resources.hpp"
 #include "xds/server.hpp"
@@ -121,6 +122,26 @@
   EXPECT_TRUE(world.Await([](const auto& figures) { return figures.streams == 0; }));
 }
 
+// The connection breaks inside a message, wherever: half of it is nothing, and the next stream makes up for
+// it.
+TEST_P(XdsServer, AProxyThatDisconnectsInsideAMessageIsMadeWholeAgain) {
+  World world;
+  for (const std::size_t cut : {100, 300, 500, 700, 900, 1100, 1300, 1500}) {
+    XdsClient client(world.server->port(), GetParam(), "proxy-" + std::to_string(cut));
+    {
+      CuttingRelay relay(world.server->port(), cut);
+      XdsClient cut_off(relay.port(), GetParam(), "proxy-" + std::to_string(cut));
+      world.SubscribeToAll(cut_off);
+      // It is cut off, or has got all within so few bytes.
+      ASSERT_TRUE(cut_off.Await([&] { return cut_off.ended() || World::Whole(cut_off); })) << cut;
+    }
+    world.SubscribeToAll(client);
+    ASSERT_TRUE(client.Await([&] { return World::Whole(client); })) << cut;
+    EXPECT_TRUE(client.RoutesAsHeld("one", "10.0.0.1")) << cut;
+  }
+  EXPECT_TRUE(world.Await([](const auto& figures) { return figures.streams == 0; }));
+}
+
 TEST_P(XdsServer, ANackKeepsTheOthersGoingAndIsCounted) {
   World world;
   XdsClient client(world.server->port(), GetParam());
