--- a/src/xds/holding.hpp
+++ b/src/xds/holding.hpp
@@ -21,15 +21,14 @@
   void Erase(const std::string& name);
   void EraseCollection(const std::string& collection);
   // From now on: all of these collections as `all` has them, and nothing else.
-  void Become(std::shared_ptr<const Resources> all, std::set<std::string> collections);
+  void Become(std::shared_ptr<const Table> all, std::set<std::string> collections);
 
   template <typename Each>
   void ForEach(Each each) const {  // name, resource; in no order
     for (const std::string& collection : collections_) {
-      for (auto at = base_->lower_bound(collection); at != base_->end() && at->first.starts_with(collection);
-           ++at) {
-        if (CollectionOf(at->first) == collection && !over_.contains(at->first)) each(at->first, at->second);
-      }
+      base_->ForEachIn(collection, [&](const std::string& name, const ResourcePtr& resource) {
+        if (!over_.contains(name)) each(name, resource);
+      });
     }
     for (const auto& [name, resource] : over_) {
       if (resource) each(name, resource);
@@ -37,9 +36,9 @@
   }
 
  private:
-  bool InBase(const std::string& name) const;
+  ResourcePtr InBase(const std::string& name) const;
 
-  std::shared_ptr<const Resources> base_;  // of which the collections below are held
+  std::shared_ptr<const Table> base_;  // of which the collections below are held
   std::set<std::string> collections_;
   Resources over_;  // null: not held, though the base has it
 };
--- a/src/xds/session.cpp
+++ b/src/xds/session.cpp
@@ -105,10 +105,10 @@
     // now.
     if (wildcard && !request.version.empty() && request.version == snapshot.version(request.type)) {
       state.due = false;
-      for (const auto& [name, resource] : snapshot.of(request.type)) {
+      snapshot.of(request.type).ForEach([&](const std::string& name, const ResourcePtr& resource) {
         state.held.Set(name, resource);
         state.latest.Set(name, resource);
-      }
+      });
     }
   }
   for (const std::string& name : wanted) state.due = state.due || (!first && !state.names.contains(name));
@@ -133,13 +133,9 @@
     state.due = true;
     state.wildcard = IsWhole(request.type) && request.subscribe.empty();
     for (const auto& [name, version] : request.initial_versions) {
-      const auto found = snapshot.of(request.type).find(name);
-      ResourcePtr resource;
-      if (found != snapshot.of(request.type).end() && found->second->version == version) {
-        resource = found->second;
-      } else {
+      ResourcePtr resource = snapshot.of(request.type).Find(name);
+      if (!resource || resource->version != version)
         resource = std::make_shared<const Resource>(Resource{name, version, {}, {}, 0});
-      }
       state.held.Set(name, resource);
       state.latest.Set(name, resource);
       state.due = false;  // nothing is owed to one that has all that there is
@@ -248,12 +244,10 @@
 ResourcePtr Session::Desired(Type type, const std::string& name, const Snapshot& snapshot) const {
   const State& state = Of(type);
   if (!Wants(state, name)) return nullptr;
-  const Resources& all = snapshot.of(type);
-  const auto found = all.find(name);
-  if (found != all.end()) {
-    if (found->second->unknown) return state.latest.Find(name);
+  if (const ResourcePtr found = snapshot.of(type).Find(name)) {
+    if (found->unknown) return state.latest.Find(name);
     const auto rejected = state.rejected.find(name);
-    if (rejected == state.rejected.end() || rejected->second != found->second->version) return found->second;
+    if (rejected == state.rejected.end() || rejected->second != found->version) return found;
     return state.latest.Find(name);  // what it has, or will have, in place of that
   }
   // Break after make: a cluster that the proxy's routes still lead to stays until they don't.
@@ -263,18 +257,17 @@
 
 Resources Session::DesiredAll(Type type, const Snapshot& snapshot) const {
   const State& state = Of(type);
-  const Resources& all = snapshot.of(type);
+  const Table& all = snapshot.of(type);
   Resources desired;
   const auto add = [&](const std::string& name) {
     if (auto resource = Desired(type, name, snapshot)) desired[name] = std::move(resource);
   };
   if (state.wildcard) {
-    for (const auto& [name, resource] : all) add(name);
+    all.ForEach([&](const std::string& name, const ResourcePtr&) { add(name); });
   } else {
     for (const std::string& name : state.names) add(name);
     for (const std::string& collection : state.collections) {
-      for (auto at = all.lower_bound(collection); at != all.end() && at->first.starts_with(collection); ++at)
-        add(at->first);
+      all.ForEachIn(collection, [&](const std::string& name, const ResourcePtr&) { add(name); });
     }
   }
   if (type == Type::kCluster) {
--- a/src/xds/snapshot.cpp
+++ b/src/xds/snapshot.cpp
@@ -17,6 +17,8 @@
     "type.googleapis.com/envoy.config.listener.v3.Listener",
     "type.googleapis.com/envoy.config.route.v3.RouteConfiguration",
 };
+constexpr std::size_t kFewResources = 256;  // in one part; more are dealt out to kParts
+constexpr std::size_t kParts = 256;
 constexpr int kMostSteps = 64;  // that a snapshot remembers of how it came about
 
 // Tells snapshots and resources of one process apart; no part of what proxies see.
@@ -76,6 +78,48 @@
   return slash == std::string_view::npos ? std::string_view() : name.substr(0, slash + 1);
 }
 
+Table::Table(const Resources& all) : size_(all.size()) {
+  std::vector<Resources> parts(size_ > kFewResources ? kParts : 1);
+  parts_.resize(parts.size());
+  for (const auto& [name, resource] : all) parts[PartOf(name)][name] = resource;
+  for (std::size_t i = 0; i < parts.size(); ++i)
+    parts_[i] = std::make_shared<const Resources>(std::move(parts[i]));
+}
+
+std::size_t Table::PartOf(const std::string& name) const {
+  return parts_.size() == 1 ? 0 : std::hash<std::string>()(name) % parts_.size();
+}
+
+ResourcePtr Table::Find(const std::string& name) const {
+  const Resources& part = *parts_[PartOf(name)];
+  const auto found = part.find(name);
+  return found == part.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<const Table> Table::With(const Resources& changes) const {
+  if (parts_.size() == 1 && size_ + changes.size() > kFewResources) {  // it may have grown out of one part
+    Resources all = *parts_[0];
+    for (const auto& [name, resource] : changes) {
+      all.erase(name);
+      if (resource) all[name] = resource;
+    }
+    return std::make_shared<const Table>(all);
+  }
+  auto next = std::make_shared<Table>(*this);
+  std::map<std::size_t, std::shared_ptr<Resources>> changed;
+  for (const auto& [name, resource] : changes) {
+    const std::size_t at = PartOf(name);
+    auto& part = changed[at];
+    if (!part) part = std::make_shared<Resources>(*parts_[at]);
+    next->size_ -= part->erase(name);
+    if (!resource) continue;
+    (*part)[name] = resource;
+    ++next->size_;
+  }
+  for (auto& [at, part] : changed) next->parts_[at] = std::move(part);
+  return next;
+}
+
 void Snapshot::Add(Sum& sum, const Resource& resource, bool in) {
   const auto hash = HashOf(resource.name + '\0' + resource.version);
   for (std::size_t i = 0; i < sum.size(); ++i) sum[i] += in ? hash[i] : ~hash[i] + 1;
@@ -84,13 +128,13 @@
 Snapshot::Snapshot(std::array<Resources, kTypes> resources) : serial_(NextSerial()) {
   for (std::size_t i = 0; i < kTypes; ++i) {
     for (const auto& [name, resource] : resources[i]) Add(sums_[i], *resource, true);
-    resources_[i] = std::make_shared<const Resources>(std::move(resources[i]));
+    tables_[i] = std::make_shared<const Table>(resources[i]);
   }
 }
 
 std::shared_ptr<const Snapshot> Snapshot::With(const Changes& changes) const {
   const std::shared_ptr<Snapshot> next(new Snapshot());
-  next->resources_ = resources_;
+  next->tables_ = tables_;
   next->sums_ = sums_;
   next->serial_ = NextSerial();
   const auto step = std::make_shared<Step>();
@@ -101,29 +145,21 @@
   }
   for (std::size_t i = 0; i < kTypes; ++i) {
     if (changes[i].empty()) continue;
-    auto all = std::make_shared<Resources>(*resources_[i]);
     for (const auto& [name, resource] : changes[i]) {
       step->names[i].insert(name);
-      const auto found = all->find(name);
-      if (found != all->end()) Add(next->sums_[i], *found->second, false);
-      if (resource) {
-        Add(next->sums_[i], *resource, true);
-        (*all)[name] = resource;
-      } else if (found != all->end()) {
-        all->erase(found);
-      }
+      if (const ResourcePtr before = tables_[i]->Find(name)) Add(next->sums_[i], *before, false);
+      if (resource) Add(next->sums_[i], *resource, true);
     }
-    next->resources_[i] = std::move(all);
+    next->tables_[i] = tables_[i]->With(changes[i]);
   }
   next->step_ = step;
   return next;
 }
 
 bool Snapshot::Unknown(Type type, const std::string& name) const {
-  const Resources& all = of(type);
   const auto is = [&](const std::string& key) {
-    const auto found = all.find(key);
-    return found != all.end() && found->second->unknown;
+    const ResourcePtr found = of(type).Find(key);
+    return found && found->unknown;
   };
   if (is(name)) return true;
   if (type != Type::kMember) return false;
--- a/src/xds/snapshot.hpp
+++ b/src/xds/snapshot.hpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace opalswitch::xds {
 
@@ -45,6 +46,38 @@
 // Of a member: what its name shares with all of its list, "/" at the end included. Empty for other names.
 std::string_view CollectionOf(std::string_view name);
 
+// Resources by name, immutable. Thousands stand in parts, so that a table which differs in a few shares the
+// other parts with the one that it was made of.
+class Table {
+ public:
+  explicit Table(const Resources& all = {});
+  std::shared_ptr<const Table> With(const Resources& changes) const;  // null where one goes
+
+  ResourcePtr Find(const std::string& name) const;  // null if there is none
+  std::size_t size() const { return size_; }
+  template <typename Each>
+  void ForEach(Each each) const {  // name, resource; in no order
+    for (const auto& part : parts_) {
+      for (const auto& [name, resource] : *part) each(name, resource);
+    }
+  }
+  template <typename Each>
+  void ForEachIn(const std::string& collection, Each each) const {
+    for (const auto& part : parts_) {
+      for (auto at = part->lower_bound(collection); at != part->end() && at->first.starts_with(collection);
+           ++at) {
+        if (CollectionOf(at->first) == collection) each(at->first, at->second);
+      }
+    }
+  }
+
+ private:
+  std::size_t PartOf(const std::string& name) const;
+
+  std::vector<std::shared_ptr<const Resources>> parts_;  // by the hash of the name
+  std::size_t size_ = 0;
+};
+
 class Snapshot {
  public:
   // What changes, by type and name; null where a resource goes.
@@ -54,10 +87,8 @@
   // This one, changed.
   std::shared_ptr<const Snapshot> With(const Changes& changes) const;
 
-  const Resources& of(Type type) const { return *resources_[static_cast<std::size_t>(type)]; }
-  std::shared_ptr<const Resources> shared(Type type) const {
-    return resources_[static_cast<std::size_t>(type)];
-  }
+  const Table& of(Type type) const { return *tables_[static_cast<std::size_t>(type)]; }
+  std::shared_ptr<const Table> shared(Type type) const { return tables_[static_cast<std::size_t>(type)]; }
   // Whether proxies are to be told nothing of the name, not even that it is not there.
   bool Unknown(Type type, const std::string& name) const;
   // Of all resources of a type together.
@@ -80,7 +111,7 @@
   Snapshot() = default;
   static void Add(Sum& sum, const Resource& resource, bool in);
 
-  std::array<std::shared_ptr<const Resources>, kTypes> resources_;
+  std::array<std::shared_ptr<const Table>, kTypes> tables_;
   std::array<Sum, kTypes> sums_{};
   std::uint64_t serial_ = 0;
   std::shared_ptr<const Step> step_;
--- a/tests/xds_hub_test.cpp
+++ b/tests/xds_hub_test.cpp
@@ -39,7 +39,7 @@
 // Whom a drain that is in this list waits for.
 std::vector<Hub::Waiting> WaitingFor(const Hub& hub, const std::shared_ptr<const Snapshot>& drained,
                                      Millis now) {
-  const auto& list = drained->of(Type::kEndpoint).at("p");
+  const auto list = drained->of(Type::kEndpoint).Find("p");
   return hub.WaitingFor("p", {{"", Type::kEndpoint, "p", list->serial}}, now);
 }
 
--- a/tests/xds_resources_test.cpp
+++ b/tests/xds_resources_test.cpp
@@ -37,8 +37,8 @@
 template <typename Message>
 Message Read(const xds::Snapshot& snapshot, Type type, const std::string& name) {
   Message message;
-  const auto found = snapshot.of(type).find(name);
-  if (found == snapshot.of(type).end() || !message.ParseFromString(found->second->bytes)) {
+  const xds::ResourcePtr found = snapshot.of(type).Find(name);
+  if (!found || !message.ParseFromString(found->bytes)) {
     ADD_FAILURE() << name;
   }
   return message;
@@ -166,7 +166,7 @@
     EXPECT_EQ(a->version(type), b->version(type));
     EXPECT_EQ(a->version(type) == c->version(type), type != Type::kEndpoint);
   }
-  EXPECT_EQ(a->of(Type::kEndpoint).at("two")->version, c->of(Type::kEndpoint).at("two")->version);
+  EXPECT_EQ(a->of(Type::kEndpoint).Find("two")->version, c->of(Type::kEndpoint).Find("two")->version);
   const auto endpoints = Read<envoy::config::endpoint::v3::ClusterLoadAssignment>(*c, Type::kEndpoint, "one");
   ASSERT_EQ(endpoints.endpoints_size(), 1);
   EXPECT_EQ(endpoints.endpoints(0).lb_endpoints(0).health_status(), envoy::config::core::v3::DRAINING);
--- a/tests/xds_session_test.cpp
+++ b/tests/xds_session_test.cpp
@@ -369,18 +369,20 @@
       take_one();
     }
     EXPECT_TRUE(inbox.empty()) << seed;
-    for (const auto& [name, resource] : now.of(Type::kCluster)) {
+    Resources clusters;
+    now.of(Type::kCluster).ForEach([&](const std::string& name, const auto& one) { clusters[name] = one; });
+    for (const auto& [name, resource] : clusters) {
       if (!is_bad(resource)) {
         EXPECT_EQ(held[Type::kCluster][name], resource->version) << seed << name;
       }
     }
     for (const auto& [name, version] : held[Type::kCluster]) {
-      EXPECT_TRUE(now.of(Type::kCluster).contains(name) || version.empty()) << seed << name;
+      EXPECT_TRUE(clusters.contains(name) || version.empty()) << seed << name;
     }
     for (const std::string& name : wanted) {
-      const auto found = now.of(Type::kEndpoint).find(name);
-      if (found != now.of(Type::kEndpoint).end() && !is_bad(found->second)) {
-        EXPECT_EQ(held[Type::kEndpoint][name], found->second->version) << seed << name;
+      const auto found = now.of(Type::kEndpoint).Find(name);
+      if (found && !is_bad(found)) {
+        EXPECT_EQ(held[Type::kEndpoint][name], found->version) << seed << name;
       }
     }
   }
