Read once more: one way to make a source and run a loop; deltas told at their own cost

Now Told uses what drains use (additions of a delta wait for the next look, 50 ms at the most, before the 200 ms that they wait anyway; a host that changes its address goes the whole way, as before). MakeSource, apps/run_loop, ToText, SubscribeToAll serve both sides; ticks without news, reports or answers end early.

--- a/src/apps/forkwick.cpp
+++ b/src/apps/forkwick.cpp
@@ -2,8 +2,7 @@
 // variables; with them it runs, checks or explains an operators' file.
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
+#include <boost/asio/post.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -11,10 +10,10 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <string>
 #include <vector>
 
+#include "apps/run_loop.hpp"
 #include "base/file_watch.hpp"
 #include "config/platform_config.hpp"
 #include "config/services.hpp"
@@ -29,28 +28,12 @@
 namespace config = opalswitch::config;
 namespace routing = opalswitch::routing;
 namespace asio = boost::asio;
+using opalswitch::apps::Print;
+using opalswitch::apps::RandomSeed;
+using opalswitch::apps::RunLoop;
 
 enum Exit { kDone = 0, kFailed = 1, kUsage = 2, kNoRoute = 3 };
 
-// Runs the loop until a signal ends it: SIGTERM and SIGINT by `stop`, which calls what it is given at the
-// end. SIGHUP calls `reload`.
-void RunLoop(asio::io_context& io, const std::function<void(std::function<void()>)>& stop,
-             const std::function<void()>& reload) {
-  asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-  ends.async_wait([&](const boost::system::error_code& ec, int) {
-    if (!ec) stop([&] { io.stop(); });
-  });
-  std::function<void()> await_reload = [&] {
-    reloads.async_wait([&](const boost::system::error_code& ec, int) {
-      if (ec) return;
-      reload();
-      await_reload();
-    });
-  };
-  await_reload();
-  io.run();
-}
-
 const char* Variable(const char* name) { return std::getenv(name); }
 
 // The environment still tells where discovery was at the start: a changed file knows better.
@@ -73,16 +56,11 @@
   return kDone;
 }
 
-void Print(const std::vector<config::Issue>& issues, std::FILE* to) {
-  for (const config::Issue& issue : issues) std::fprintf(to, "%s\n", issue.ToText().c_str());
-}
-
 int RunServices(const std::string& path) {
   const auto first = config::LoadServices(path);
   if (!first.services) return Print(first.issues, stderr), kFailed;
   asio::io_context io(1);
-  std::random_device random;
-  gw::ServiceGateway gateway(io, first.services, (std::uint64_t{random()} << 32) | random());
+  gw::ServiceGateway gateway(io, first.services, RandomSeed());
   std::unique_ptr<gw::FileWatch> watch;
   std::function<void()> reload;
   const auto follow = [&](const config::Services& services) {
--- a/src/apps/forkwick_control.cpp
+++ b/src/apps/forkwick_control.cpp
@@ -2,18 +2,15 @@
 // follows the file and the membership; one thread decides; gRPC has its own.
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <cstdio>
 #include <exception>
-#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
+#include <vector>
 
+#include "apps/run_loop.hpp"
 #include "base/clock.hpp"
 #include "base/file_watch.hpp"
 #include "config/services.hpp"
@@ -31,15 +28,14 @@
 namespace xds = opalswitch::xds;
 namespace asio = boost::asio;
 using opalswitch::Millis;
+using opalswitch::apps::Print;
+using opalswitch::apps::RandomSeed;
+using opalswitch::apps::RunLoop;
 
 enum Exit { kDone = 0, kFailed = 1, kUsage = 2 };
 
 void Say(const std::string& text) { std::fprintf(stderr, "forkwick-control: %s\n", text.c_str()); }
 
-void Print(const std::vector<config::Issue>& issues) {
-  for (const config::Issue& issue : issues) std::fprintf(stderr, "%s\n", issue.ToText().c_str());
-}
-
 xds::ServerOptions OptionsOf(const config::Control& control) {
   xds::ServerOptions options;
   options.address = control.address;
@@ -73,8 +69,7 @@
     const auto drained = drains_.Read();  // before anybody is told anything
     server_ = std::make_unique<xds::Server>(std::move(options));
     server_->With([&](xds::Hub& hub, Millis now) {
-      std::random_device random;
-      control_ = std::make_unique<xds::Control>(hub, (std::uint64_t{random()} << 32) | random(), Say);
+      control_ = std::make_unique<xds::Control>(hub, RandomSeed(), Say);
       control_->Restore(drained);
       return control_->Configure(services, now);
     });
@@ -103,11 +98,12 @@
   // Sources of pools whose definition stays are kept, those of others begin anew.
   void Follow(const config::Services& services) {
     std::map<std::string, Followed> next;
+    std::vector<gw::Source*> begin;
     for (const config::Pool& pool : services.pools) {
       const auto found = sources_.find(pool.id);
       if (found != sources_.end() && found->second.definition == pool.definition) {
         next[pool.id] = std::move(found->second);
-        if (auto* const fixed = next[pool.id].fixed) fixed->Change(pool.membership.hosts);
+        next[pool.id].source->Change(pool.membership.hosts);
         continue;
       }
       gw::Source::Handlers handlers{
@@ -117,31 +113,16 @@
           [] {}, [id = pool.id](const std::string& text) { Say("pool " + id + ": " + text); }};
       Followed& to = next[pool.id];
       to.definition = pool.definition;
-      switch (pool.membership.source) {
-        case config::Membership::Source::kStatic: {
-          auto fixed = std::make_unique<gw::StaticSource>(pool.membership.hosts, std::move(handlers));
-          to.fixed = fixed.get();
-          to.source = std::move(fixed);
-          break;
-        }
-        case config::Membership::Source::kFile:
-          to.source = std::make_unique<gw::FileSource>(io_, pool.membership.file, std::move(handlers));
-          break;
-        case config::Membership::Source::kDiscovery:
-          to.source =
-              std::make_unique<gw::DiscoverySource>(io_, pool.membership.discovery, std::move(handlers));
-          break;
-      }
-      begin_.push_back(to.source.get());
+      to.source = gw::MakeSource(io_, pool.membership, std::move(handlers));
+      begin.push_back(to.source.get());
     }
     sources_ = std::move(next);
-    for (gw::Source* const source : std::exchange(begin_, {})) source->Start();
+    for (gw::Source* const source : begin) source->Start();
   }
 
   struct Followed {
     std::string definition;
     std::unique_ptr<gw::Source> source;
-    gw::StaticSource* fixed = nullptr;
   };
 
   asio::io_context& io_;
@@ -151,40 +132,28 @@
   std::unique_ptr<xds::Server> server_;
   std::unique_ptr<xds::Operators> operators_;
   std::map<std::string, Followed> sources_;
-  std::vector<gw::Source*> begin_;
 };
 
 int Run(const std::string& path) {
   const auto first = config::LoadServices(path);
-  if (!first.services) return Print(first.issues), kFailed;
+  if (!first.services) return Print(first.issues, stderr), kFailed;
   asio::io_context io(1);
   Running running(io, first.services);
   std::unique_ptr<gw::FileWatch> watch;
-  std::function<void()> reload = [&] {
+  const auto reload = [&] {
     const auto next = config::LoadServices(path);
     if (!next.services) {
       Say("not reloaded, " + std::to_string(next.issues.size()) + " faults in the file:");
-      return Print(next.issues);
+      return Print(next.issues, stderr);
     }
     running.Reload(next.services);
     Say("reloaded " + path);
   };
-  if (first.services->watch) watch = std::make_unique<gw::FileWatch>(io, path, [&] { reload(); });
-  asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-  ends.async_wait([&](const boost::system::error_code& ec, int) {
-    if (!ec) io.stop();
-  });
-  std::function<void()> await_reload = [&] {
-    reloads.async_wait([&](const boost::system::error_code& ec, int) {
-      if (ec) return;
-      reload();
-      await_reload();
-    });
-  };
-  await_reload();
+  if (first.services->watch) watch = std::make_unique<gw::FileWatch>(io, path, reload);
   const std::string& address = first.services->control.address;
   Say("serves xDS at " + address.substr(0, address.rfind(':') + 1) + std::to_string(running.port()));
-  io.run();
+  RunLoop(
+      io, [](auto done) { done(); }, reload);
   return kDone;
 }
 
@@ -224,7 +193,7 @@
     if (file.empty())
       return std::fprintf(stderr, "forkwick-control: --config or --socket is missing\n"), kUsage;
     const auto parsed = config::LoadServices(file);
-    if (!parsed.services) return Print(parsed.issues), kFailed;
+    if (!parsed.services) return Print(parsed.issues, stderr), kFailed;
     socket = parsed.services->control.socket;
   }
   if (status->parsed()) return xds::ShowStatus(socket, json);
--- a/src/base/endpoint.cpp
+++ b/src/base/endpoint.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cstdint>
+#include <sstream>
 
 namespace opalswitch::gateway {
 
@@ -23,4 +24,10 @@
   return tcp::endpoint(address, port);
 }
 
+std::string ToText(const tcp::endpoint& address) {
+  std::ostringstream text;
+  text << address;
+  return text.str();
+}
+
 }  // namespace opalswitch::gateway
--- a/src/config/services.cpp
+++ b/src/config/services.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 #include <utility>
 
+#include "base/endpoint.hpp"
 #include "config/toml_fields.hpp"
 #include "routing/target.hpp"
 
@@ -226,9 +227,8 @@
       Fields h(*tables[i], f.PathOf("host[" + std::to_string(i) + "]"), issues_);
       gateway::Host host;
       host.address = h.Need("address", h.Address("address"), "the host's IP address and port");
-      std::ostringstream address;
-      address << host.address;
-      host.server.id = h.Name("id").value_or(address.str());
+      const std::string address = gateway::ToText(host.address);
+      host.server.id = h.Name("id").value_or(address);
       host.server.zone = h.Text("zone").value_or("");
       host.server.kind = h.Text("kind").value_or("");
       host.server.cell = h.Text("cell").value_or("");
@@ -240,9 +240,9 @@
               "found " + Quoted(host.server.id) + " a second time in this pool");
       }
       // One node has one id in all pools: a drain that one of them is told of reaches it in the others.
-      const auto [known, added] = nodes_.try_emplace(address.str(), host.server.id);
+      const auto [known, added] = nodes_.try_emplace(address, host.server.id);
       if (!added && known->second != host.server.id && h.Has("address")) {
-        h.Say("address", "found " + Quoted(address.str()) + ", which is host " + Quoted(known->second) +
+        h.Say("address", "found " + Quoted(address) + ", which is host " + Quoted(known->second) +
                              " elsewhere in this file, expected the same id for the same node");
       }
       pool.membership.hosts.push_back(std::move(host));
--- a/src/gateway/service_gateway.cpp
+++ b/src/gateway/service_gateway.cpp
@@ -65,7 +65,6 @@
   limits::SharedBudget::Party descriptors = 0, places = 0, bodies = 0;
   std::shared_ptr<Pool> pool;
   std::unique_ptr<Source> source;
-  StaticSource* fixed = nullptr;  // the source, if the file itself lists the hosts
   bool retired = false;
 };
 
@@ -165,21 +164,7 @@
   Source::Handlers handlers{[this, to](const HostList& list) { Told(*to, list); },
                             [to] { to->pool->ListFailed(); },
                             [to](const std::string& text) { Say("pool " + to->id + ": " + text); }};
-  const config::Membership& m = from.membership;
-  switch (m.source) {
-    case config::Membership::Source::kStatic: {
-      auto fixed = std::make_unique<StaticSource>(m.hosts, std::move(handlers));
-      member.fixed = fixed.get();
-      member.source = std::move(fixed);
-      break;
-    }
-    case config::Membership::Source::kFile:
-      member.source = std::make_unique<FileSource>(io_, m.file, std::move(handlers));
-      break;
-    case config::Membership::Source::kDiscovery:
-      member.source = std::make_unique<DiscoverySource>(io_, m.discovery, std::move(handlers));
-      break;
-  }
+  member.source = MakeSource(io_, from.membership, std::move(handlers));
   member.source->Start();
 }
 
@@ -252,7 +237,7 @@
   Share(*next);
   for (std::size_t i = 0; i < next->members.size(); ++i) {
     Member& member = *next->members[i];
-    if (member.fixed != nullptr) member.fixed->Change(services->pools[i].membership.hosts);
+    if (member.source) member.source->Change(services->pools[i].membership.hosts);
   }
   for (const auto& [member, pool] : made) {
     // A discovery service takes a moment to answer: until then the hosts are those that the old pool knew.
--- a/src/membership/source.cpp
+++ b/src/membership/source.cpp
@@ -14,6 +14,18 @@
 
 }  // namespace
 
+std::unique_ptr<Source> MakeSource(boost::asio::io_context& io, const config::Membership& membership,
+                                   Source::Handlers handlers) {
+  switch (membership.source) {
+    case config::Membership::Source::kFile:
+      return std::make_unique<FileSource>(io, membership.file, std::move(handlers));
+    case config::Membership::Source::kDiscovery:
+      return std::make_unique<DiscoverySource>(io, membership.discovery, std::move(handlers));
+    case config::Membership::Source::kStatic: break;
+  }
+  return std::make_unique<StaticSource>(membership.hosts, std::move(handlers));
+}
+
 StaticSource::StaticSource(std::vector<Host> hosts, Handlers handlers)
     : hosts_(std::move(hosts)), handlers_(std::move(handlers)) {}
 
--- a/src/membership/source.hpp
+++ b/src/membership/source.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/file_watch.hpp"
+#include "config/services.hpp"
 #include "membership/discovery.hpp"
 #include "membership/host_list.hpp"
 
@@ -28,14 +29,19 @@
   virtual ~Source() = default;
   // Begins to tell; what is known at once is told before this returns.
   virtual void Start() = 0;
+  // The operators' file lists these hosts now. Of no concern to sources that know theirs from elsewhere.
+  virtual void Change(std::vector<Host> /*hosts*/) {}
 };
 
+// The source that a pool's membership names; not started.
+std::unique_ptr<Source> MakeSource(boost::asio::io_context& io, const config::Membership& membership,
+                                   Source::Handlers handlers);
+
 class StaticSource : public Source {
  public:
   StaticSource(std::vector<Host> hosts, Handlers handlers);
   void Start() override;
-  // The operators' file has another list now.
-  void Change(std::vector<Host> hosts);
+  void Change(std::vector<Host> hosts) override;
 
  private:
   std::vector<Host> hosts_;
--- a/src/xds/control.cpp
+++ b/src/xds/control.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace opalswitch::xds {
@@ -20,6 +19,10 @@
   return was.weight != is.weight && std::abs(after - before) >= threshold * before;
 }
 
+void Append(Control::Outs& to, Control::Outs more) {
+  to.insert(to.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+}
+
 }  // namespace
 
 Control::Control(Hub& hub, std::uint64_t seed, std::function<void(const std::string&)> say)
@@ -117,13 +120,12 @@
     }
     auto all = BuildRouting(*services_, options);
     for (const auto& [id, of_pool] : parts_[group.form]) {
-      if (!group.pools.empty() && !group.pools.contains(id)) continue;
+      if (!group.Sees(id)) continue;
       all[static_cast<std::size_t>(Type::kEndpoint)][id] = of_pool.list;
       all[static_cast<std::size_t>(Type::kMember)].insert(of_pool.members.begin(), of_pool.members.end());
     }
     group.told = std::make_shared<const Snapshot>(std::move(all));
-    Outs more = hub_.Publish(group.id, group.told, /*urgent=*/true, now);
-    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    Append(out, hub_.Publish(group.id, group.told, /*urgent=*/true, now));
   }
   out_since_.clear();
   for (const auto& [id, pool] : pools_) {
@@ -142,8 +144,11 @@
   }
   pool.decider.Told(own, now);
   pool.listed = true;
-  for (const std::string& line : pool.decider.log()) say_("pool " + id + ": " + line);
-  pool.decider.ClearLog();
+  SayLog(id, pool);
+}
+
+void Control::SayLog(const std::string& id, Pool& pool) {
+  for (const std::string& line : pool.decider.TakeLog()) say_("pool " + id + ": " + line);
 }
 
 void Control::Give(const std::vector<gateway::NodeRegistry::News>& news, Millis now) {
@@ -161,11 +166,16 @@
   const auto news = nodes_.Told(found->second->number, list, now);
   Give(news, now);
   for (auto& [name, pool] : pools_) {
-    const bool reached =
-        std::any_of(news.begin(), news.end(), [&](const auto& item) { return item.pool == pool->number; });
-    if (!reached) continue;
-    Outs more = Publish(name, *pool, now);
-    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    const auto reached =
+        std::find_if(news.begin(), news.end(), [&](const auto& item) { return item.pool == pool->number; });
+    if (reached == news.end()) continue;
+    if (reached->list.complete || !pool->published || Moves(*pool, reached->list)) {
+      Append(out, Publish(name, *pool, now));
+      continue;
+    }
+    std::set<std::string> hosts;
+    for (const gateway::Host& host : reached->list.hosts) hosts.insert(host.server.id);
+    Append(out, PublishOut(name, *pool, hosts, now));
   }
   return out;
 }
@@ -183,17 +193,22 @@
   Outs out;
   for (auto& [id, pool] : pools_) {
     pool->decider.Tick(now);
-    for (const std::string& line : pool->decider.log()) say_("pool " + id + ": " + line);
-    pool->decider.ClearLog();
-    const Millis every = std::max(kLookEvery, kLookPerHost * static_cast<double>(pool->decider.size()));
-    if (now - pool->looked_at < every) continue;
-    pool->looked_at = now;
-    Outs more = Publish(id, *pool, now);
-    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    SayLog(id, *pool);
+    if (now < pool->look_at) continue;
+    pool->look_at = now + std::max(kLookEvery, kLookPerHost * static_cast<double>(pool->decider.size()));
+    Append(out, Publish(id, *pool, now));
   }
   return out;
 }
 
+bool Control::Moves(const Pool& pool, const gateway::HostList& list) {
+  return std::any_of(list.hosts.begin(), list.hosts.end(), [&](const gateway::Host& host) {
+    const auto told = pool.told.find(host.server.id);
+    return told != pool.told.end() && (told->second.port != host.address.port() ||
+                                       told->second.address != host.address.address().to_string());
+  });
+}
+
 void Control::SetTold(Pool& pool, const std::string& host, const Assigned* to) {
   const auto found = pool.told.find(host);
   if (found != pool.told.end()) {
@@ -254,7 +269,7 @@
     next.weight = 1;
     SetTold(pool, host, state ? &next : nullptr);
   }
-  pool.looked_at = std::min(pool.looked_at, now - kLookEvery);  // what else there is, soon
+  pool.look_at = std::min(pool.look_at, now + kLookEvery);  // what else there is, soon
   if (changed.empty()) return {};
   return Tell(id, pool, was, changed, /*urgent=*/true, now);
 }
@@ -299,10 +314,9 @@
   }
   Outs out;
   for (Group& group : groups_) {
-    if (!group.pools.empty() && !group.pools.contains(id)) continue;
+    if (!group.Sees(id)) continue;
     group.told = group.told->With(changes[group.form]);
-    Outs more = hub_.Publish(group.id, group.told, urgent, now);
-    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    Append(out, hub_.Publish(group.id, group.told, urgent, now));
   }
   NoteOut(id, pool, changed);
   return out;
@@ -322,7 +336,7 @@
     auto& needs = since[host];
     if (!needs.empty()) continue;  // it drains since an earlier list
     for (const Group& group : groups_) {
-      if (!group.pools.empty() && !group.pools.contains(id)) continue;
+      if (!group.Sees(id)) continue;
       const EndpointParts& parts = parts_[group.form].at(id);
       if (group.form != kEach) {
         needs.push_back({group.id, Type::kEndpoint, id, parts.list->serial});
@@ -346,8 +360,7 @@
     const auto host = nodes_.HostOf(pool->number, node);
     if (!host) continue;
     Give(id, *pool, {0, false, {*host}}, now);
-    Outs more = PublishOut(id, *pool, {node}, now);
-    out.insert(out.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+    Append(out, PublishOut(id, *pool, {node}, now));
   }
   return out;
 }
--- a/src/xds/control.hpp
+++ b/src/xds/control.hpp
@@ -67,7 +67,7 @@
     bool published = false;                    // and proxies were told
     std::map<std::string, Assigned> told;      // as last published, by id
     std::map<std::string, std::size_t> zones;  // of these, and how many each has
-    Millis looked_at = 0;                      // when weights and failing hosts were last held against it
+    Millis look_at = 0;                        // when weights and failing hosts are next held against it
   };
   // How endpoints are worded for a group. Groups with the same form share all of them.
   enum Form { kPlain, kGrpc, kEach, kForms };
@@ -76,17 +76,22 @@
     Form form = kPlain;
     std::set<std::string> pools;  // empty = all
     std::shared_ptr<const Snapshot> told;
+
+    bool Sees(const std::string& pool) const { return pools.empty() || pools.contains(pool); }
   };
 
   // The operators' drain of a node has begun or ended.
   Outs Change(const std::string& node, Millis now);
   void Give(const std::string& id, Pool& pool, const gateway::HostList& list, Millis now);
   void Give(const std::vector<gateway::NodeRegistry::News>& news, Millis now);
+  void SayLog(const std::string& id, Pool& pool);
   // Tells of a pool's endpoints if they differ enough from what was told. Costs what the pool has.
   Outs Publish(const std::string& id, Pool& pool, Millis now);
   // Tells which of these hosts can't be sent to any more; additions wait for the next look. Costs what the
   // hosts cost, where proxies are told endpoint by endpoint.
   Outs PublishOut(const std::string& id, Pool& pool, const std::set<std::string>& hosts, Millis now);
+  // Whether a host that proxies know is at another address now.
+  static bool Moves(const Pool& pool, const gateway::HostList& list);
   // A pool's endpoint becomes another, or none.
   static void SetTold(Pool& pool, const std::string& host, const Assigned* to);
   // Has the hub tell of what has changed in `told`, by id; `was` has what these were.
--- a/src/xds/decider.cpp
+++ b/src/xds/decider.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <sstream>
 #include <utility>
 #include <variant>
 
+#include "base/endpoint.hpp"
+
 namespace opalswitch::xds {
 namespace {
 
@@ -34,12 +35,6 @@
   return settings;
 }
 
-std::string TextOf(const boost::asio::ip::tcp::endpoint& address) {
-  std::ostringstream text;
-  text << address;
-  return text.str();
-}
-
 }  // namespace
 
 Decider::Decider(const Settings& settings, std::uint64_t seed) : policy_(ForSamples(settings), seed) {}
@@ -65,7 +60,7 @@
     }
     known.host = host;
     // Of two at one address the one that is up counts: the other drains, or is gone.
-    const auto [place, free] = by_address_.try_emplace(TextOf(host.address), id);
+    const auto [place, free] = by_address_.try_emplace(gateway::ToText(host.address), id);
     if (!free && host.server.state == ServerState::kUp) place->second = id;
   }
   if (list.complete) {
@@ -81,10 +76,11 @@
   std::vector<Action> actions;
   policy_.handle(now, news, actions);
   Carry(actions, now);
+  moved_ = true;
 }
 
 void Decider::Unplace(const std::string& id, const Known& known) {
-  const auto place = by_address_.find(TextOf(known.host.address));
+  const auto place = by_address_.find(gateway::ToText(known.host.address));
   if (place != by_address_.end() && place->second == id) by_address_.erase(place);
 }
 
@@ -121,6 +117,7 @@
     }
     evidence_.Heard(id, proxy, load, report.interval, now);
     known->second.owed = std::min(kMostOwed, known->second.owed + load.served + load.failed);
+    moved_ = true;
   }
 }
 
@@ -161,6 +158,7 @@
                   Millis now) {
   std::vector<Action> actions;
   policy_.handle(now, Outcome{sample, 0, host, result, true, latency, {}}, actions);
+  moved_ = moved_ || result != Result::kNotSent;
   Carry(actions, now);
 }
 
@@ -190,6 +188,8 @@
     endings_.pop();
     End(ending.sample, ending.host, ending.result, ending.latency, now);
   }
+  // Without news, reports or answers nobody becomes a suspect, and nothing is owed.
+  if (!std::exchange(moved_, false) && suspects_.empty()) return;
   suspects_.clear();
   for (const Verdict& verdict : policy_.Verdicts()) {
     if (verdict.suspect) suspects_.insert(verdict.server);
@@ -215,6 +215,7 @@
   int asks = std::min<int>(kMostSamples, static_cast<int>(owed));
   if (asks == 0 && !suspects_.empty()) asks = 1;  // so that a trial comes about without other traffic
   for (int i = 0; i < asks; ++i) Ask(now);
+  moved_ = moved_ || owed >= 1;
 }
 
 std::vector<Assigned> Decider::Endpoints() const {
@@ -260,7 +261,7 @@
   for (const Assigned& to : Endpoints()) {
     const Known& known = hosts_.at(to.id);
     const auto word = evidence_.Of(to.id, 0, now);
-    all.push_back({to.id, TextOf(known.host.address), to.standing, to.weight, known.tried_since >= 0,
+    all.push_back({to.id, gateway::ToText(known.host.address), to.standing, to.weight, known.tried_since >= 0,
                    word ? word->failing : 0, word ? word->proxies : 0});
   }
   return all;
--- a/src/xds/decider.hpp
+++ b/src/xds/decider.hpp
@@ -13,6 +13,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "membership/host_list.hpp"
@@ -50,8 +51,8 @@
   };
   std::vector<HostStatus> Status(Millis now) const;
   std::uint64_t unknown() const { return unknown_; }  // entries of reports that fit no host
-  const std::vector<std::string>& log() const { return log_; }
-  void ClearLog() { log_.clear(); }
+  // The module's lines on its servers since the last call.
+  std::vector<std::string> TakeLog() { return std::exchange(log_, {}); }
 
  private:
   struct Known {
@@ -89,6 +90,7 @@
   std::priority_queue<Ending, std::vector<Ending>, std::greater<>> endings_;
   Millis usual_ = 1;  // latency, smoothed over all hosts: for one of which nobody can tell it
   std::uint64_t samples_ = 0, unknown_ = 0;
+  bool moved_ = true;  // something was told since the last tick that went through all hosts
   std::vector<std::string> log_;
 };
 
--- a/src/xds/hub.cpp
+++ b/src/xds/hub.cpp
@@ -245,13 +245,11 @@
 std::vector<Hub::ProxyStatus> Hub::proxies() const {
   std::vector<ProxyStatus> all;
   for (const auto& [id, stream] : streams_) {
-    ProxyStatus status{stream.node,           stream.group, true, kForEver, stream.session.last_rejection(),
+    ProxyStatus status{stream.node, stream.group, true, stream.session.last_rejection(),
                        stream.session.nacks()};
     for (std::size_t i = 0; i < kTypes; ++i) {
       status.settled = status.settled && stream.session.Answered(static_cast<Type>(i));
     }
-    for (const auto& [pool, until] : stream.leases)
-      status.leased_until = std::min(status.leased_until, until);
     all.push_back(std::move(status));
   }
   return all;
--- a/src/xds/hub.hpp
+++ b/src/xds/hub.hpp
@@ -97,8 +97,7 @@
   struct ProxyStatus {
     ProxyNode node;
     std::string group;
-    bool settled = true;      // it has answered all that it was sent
-    Millis leased_until = 0;  // the first of its leases that runs out; infinite if it has none
+    bool settled = true;  // it has answered all that it was sent
     std::optional<Rejection> rejection;
     std::uint64_t nacks = 0;
   };
--- a/src/xds/session.cpp
+++ b/src/xds/session.cpp
@@ -64,6 +64,19 @@
   state.one_by_one.erase(name);
 }
 
+void Session::ForgetRest(State& state) {
+  std::vector<std::string> left;
+  state.latest.ForEach([&](const std::string& name, const ResourcePtr&) {
+    if (!Wants(state, name)) left.push_back(name);
+  });
+  for (const std::string& name : left) Forget(state, name);
+}
+
+void Session::ForgetCollection(State& state, const std::string& collection) {
+  state.held.EraseCollection(collection);
+  state.latest.EraseCollection(collection);
+}
+
 void Session::Note(State& state, const Sent& sent) {
   for (const auto& [name, resource] : sent.changed) state.latest.Set(name, resource);
   for (const std::string& name : sent.removed) state.latest.Erase(name);
@@ -112,15 +125,9 @@
     }
   }
   for (const std::string& name : wanted) state.due = state.due || (!first && !state.names.contains(name));
-  if (!wildcard) {
-    std::vector<std::string> left;
-    state.latest.ForEach([&](const std::string& name, const ResourcePtr&) {
-      if (!wanted.contains(name)) left.push_back(name);
-    });
-    for (const std::string& name : left) Forget(state, name);
-  }
   state.wildcard = wildcard;
   state.names = std::move(wanted);
+  ForgetRest(state);
   return std::nullopt;
 }
 
@@ -149,10 +156,7 @@
       state.wildcard = true;
     } else if (is_collection(name)) {
       const std::string collection = name.substr(0, name.size() - 1);
-      if (!first) {
-        state.held.EraseCollection(collection);
-        state.latest.EraseCollection(collection);
-      }
+      if (!first) ForgetCollection(state, collection);
       state.collections.insert(collection);
     } else {
       // Asking for a name again asks for the resource again, but for what the proxy says it has.
@@ -165,16 +169,11 @@
   for (const std::string& name : request.unsubscribe) {
     if (name == "*") {
       state.wildcard = false;
-      std::vector<std::string> left;
-      state.latest.ForEach([&](const std::string& held, const ResourcePtr&) {
-        if (!Wants(state, held)) left.push_back(held);
-      });
-      for (const std::string& held : left) Forget(state, held);
+      ForgetRest(state);
     } else if (is_collection(name)) {
       const std::string collection = name.substr(0, name.size() - 1);
       state.collections.erase(collection);
-      state.held.EraseCollection(collection);
-      state.latest.EraseCollection(collection);
+      ForgetCollection(state, collection);
     } else {
       state.names.erase(name);
       if (!Wants(state, name)) Forget(state, name);
@@ -283,8 +282,8 @@
     state.missing.erase(name);
     if (!known || known->version != desired->version) {
       sent.changed[name] = desired;
-    } else if (known !=
-               desired) {  // told by its version alone until now, or built anew with the same content
+    } else if (known != desired) {
+      // Told by its version alone until now, or built anew with the same content.
       const ResourcePtr held = state.held.Find(name);
       state.latest.Set(name, desired);
       if (held && held->version == desired->version) state.held.Set(name, desired);
@@ -302,12 +301,13 @@
   }
 }
 
-Session::Sent Session::Compare(Type type, const Snapshot& snapshot, std::optional<Resources>& whole) {
+Session::Sent Session::Compare(Type type, const Snapshot& snapshot,
+                               const std::optional<std::set<std::string>>& names,
+                               std::optional<Resources>& whole) {
   State& state = Of(type);
   Sent sent;
-  std::set<std::string> names;
-  if (!state.dirty && !state.due && snapshot.ChangedSince(state.seen, type, names)) {
-    for (const std::string& name : names) {
+  if (names) {
+    for (const std::string& name : *names) {
       if (!snapshot.Unknown(type, name)) Look(type, name, Desired(type, name, snapshot), sent);
     }
     // Who is told of a change by the whole list is told of all.
@@ -356,8 +356,9 @@
     if (!state.dirty && !state.due && state.seen == snapshot.serial()) continue;
     // Changes of a rejected answer go one at a time.
     if (!state.one_by_one.empty() && !state.out.empty()) continue;
-    std::set<std::string> names;
-    if (!state.dirty && !state.due && snapshot.ChangedSince(state.seen, type, names) && names.empty()) {
+    std::optional<std::set<std::string>> names(std::in_place);  // that may have changed; nothing if all may
+    if (state.dirty || state.due || !snapshot.ChangedSince(state.seen, type, *names)) names.reset();
+    if (names && names->empty()) {
       state.seen = snapshot.serial();
       continue;
     }
@@ -366,7 +367,7 @@
       continue;
     }
     std::optional<Resources> whole;
-    Sent sent = Compare(type, snapshot, whole);
+    Sent sent = Compare(type, snapshot, names, whole);
     state.dirty = false;
     state.seen = snapshot.serial();
     const bool all_of_it = form_ == Form::kStateOfTheWorld && IsWhole(type);
--- a/src/xds/session.hpp
+++ b/src/xds/session.hpp
@@ -121,6 +121,9 @@
   std::optional<std::string> TakeDelta(State& state, const Request& request, const Snapshot& snapshot);
   void Acknowledge(State& state, const Request& request, const Snapshot& snapshot);
   static void Forget(State& state, const std::string& name);
+  // All that the proxy does not want any more.
+  void ForgetRest(State& state);
+  static void ForgetCollection(State& state, const std::string& collection);
   // What the proxy will hold once it accepts an answer.
   static void Note(State& state, const Sent& sent);
   bool Wants(const State& state, const std::string& name) const;
@@ -130,8 +133,10 @@
   Resources DesiredAll(Type type, const Snapshot& snapshot) const;
   // What one name adds to the next answer.
   void Look(Type type, const std::string& name, const ResourcePtr& desired, Sent& sent);
-  // All that is to be told of a type. `whole` gets what the proxy should hold, where that had to be found.
-  Sent Compare(Type type, const Snapshot& snapshot, std::optional<Resources>& whole);
+  // All that is to be told of a type: of these names, or of all if there are none to go by. `whole` gets what
+  // the proxy should hold, where that had to be found.
+  Sent Compare(Type type, const Snapshot& snapshot, const std::optional<std::set<std::string>>& names,
+               std::optional<Resources>& whole);
   // Cuts an answer to what may be sent at once; the rest stays to be told.
   void Cut(State& state, Sent& sent) const;
   bool Waits(Type type) const;
--- a/tests/standins/xds_client.hpp
+++ b/tests/standins/xds_client.hpp
@@ -333,6 +333,26 @@
   grpc::Status status_;
 };
 
+// Connects the proxy, to be told of all that a file with pools "one" and "two" and a listener "in" has.
+inline void SubscribeToAll(XdsClient& client) {
+  client.Connect();
+  client.Subscribe(xds::Type::kCluster);
+  client.Subscribe(xds::Type::kEndpoint, {"one", "two"});
+  client.Subscribe(xds::Type::kListener);
+  client.Subscribe(xds::Type::kRoute, {"routes/in"});
+}
+
+// Whether it was told of all of that. From `holds`, or once it has waited.
+inline bool IsWhole(XdsClient& client) {
+  return client.held(xds::Type::kCluster).size() == 2 && client.held(xds::Type::kEndpoint).size() == 2 &&
+         client.held(xds::Type::kListener).size() == 1 && client.held(xds::Type::kRoute).size() == 1;
+}
+
+inline bool MakeWhole(XdsClient& client) {
+  SubscribeToAll(client);
+  return client.Await([&] { return IsWhole(client); });
+}
+
 // A proxy's load reports, true or not.
 class LoadReporter {
  public:
--- a/tests/xds_command_test.cpp
+++ b/tests/xds_command_test.cpp
@@ -64,25 +64,6 @@
   std::string folder;
 };
 
-void SubscribeToAll(XdsClient& client) {
-  client.Connect();
-  client.Subscribe(Type::kCluster);
-  client.Subscribe(Type::kEndpoint, {"one", "two"});
-  client.Subscribe(Type::kListener);
-  client.Subscribe(Type::kRoute, {"routes/in"});
-}
-
-bool Whole(XdsClient& client) {
-  return client.held(Type::kCluster).size() == 2 && client.held(Type::kEndpoint).size() == 2 &&
-         client.held(Type::kRoute).size() == 1;
-}
-
-// Connects the client and has it told of all.
-bool MakeWhole(XdsClient& client) {
-  SubscribeToAll(client);
-  return client.Await([&] { return Whole(client); });
-}
-
 TEST(ControlCommand, ServesTellsAndDrains) {
   World world;
   Process process(world.Run());
@@ -152,7 +133,7 @@
   EXPECT_EQ(drain.code, 0) << drain.text;
   EXPECT_FALSE(deaf.Routes("one", "10.0.0.1"));  // its lease has run out before the wait was over
   SubscribeToAll(client);
-  ASSERT_TRUE(client.Await([&] { return client.heartbeats() > 0 && Whole(client); }));
+  ASSERT_TRUE(client.Await([&] { return client.heartbeats() > 0 && IsWhole(client); }));
   EXPECT_FALSE(client.RoutesAsHeld("one", "10.0.0.1"));
   EXPECT_FALSE(client.RoutesAsHeld("two", "10.0.0.1"));
 }
--- a/tests/xds_server_test.cpp
+++ b/tests/xds_server_test.cpp
@@ -66,17 +66,6 @@
     }
     return false;
   }
-  void SubscribeToAll(XdsClient& client) {
-    client.Connect();
-    client.Subscribe(Type::kCluster);
-    client.Subscribe(Type::kEndpoint, {"one", "two"});
-    client.Subscribe(Type::kListener);
-    client.Subscribe(Type::kRoute, {"routes/in"});
-  }
-  static bool Whole(XdsClient& client) {
-    return client.held(Type::kCluster).size() == 2 && client.held(Type::kEndpoint).size() == 2 &&
-           client.held(Type::kListener).size() == 1 && client.held(Type::kRoute).size() == 1;
-  }
 
   std::shared_ptr<const config::Services> services = Services();
   std::optional<xds::Server> server;
@@ -87,8 +76,7 @@
 TEST_P(XdsServer, TellsAProxyAllAndThenADrain) {
   World world;
   XdsClient client(world.server->port(), GetParam());
-  world.SubscribeToAll(client);
-  ASSERT_TRUE(client.Await([&] { return World::Whole(client); }));
+  ASSERT_TRUE(MakeWhole(client));
   EXPECT_TRUE(client.Routes("one", "10.0.0.1"));
   EXPECT_TRUE(client.held(Type::kEndpoint).at("one").until);   // a lease
   EXPECT_FALSE(client.held(Type::kEndpoint).at("two").until);  // none
@@ -109,13 +97,13 @@
     XdsClient client(world.server->port(), GetParam(), "proxy-" + std::to_string(boundary));
     int seen = 0;
     client.reply = [&](Type, auto&) { return ++seen > boundary ? Reply::kNothing : Reply::kAck; };
-    world.SubscribeToAll(client);
+    SubscribeToAll(client);
     client.Await([&] { return seen >= std::min(boundary, 4); });
     client.Drop();
     client.reply = [](Type, auto&) { return Reply::kAck; };
     world.Publish(Nodes(boundary % 2 == 0 ? Standing::kDraining : Standing::kUp), true);
-    world.SubscribeToAll(client);
-    ASSERT_TRUE(client.Await([&] { return World::Whole(client); })) << boundary;
+    SubscribeToAll(client);
+    ASSERT_TRUE(client.Await([&] { return IsWhole(client); })) << boundary;
     ASSERT_TRUE(client.Await([&] { return client.heartbeats() > 0; })) << boundary;
     EXPECT_EQ(client.Routes("one", "10.0.0.1"), boundary % 2 != 0) << boundary;
   }
@@ -131,12 +119,12 @@
     {
       CuttingRelay relay(world.server->port(), cut);
       XdsClient cut_off(relay.port(), GetParam(), "proxy-" + std::to_string(cut));
-      world.SubscribeToAll(cut_off);
+      SubscribeToAll(cut_off);
       // It is cut off, or has got all within so few bytes.
-      ASSERT_TRUE(cut_off.Await([&] { return cut_off.ended() || World::Whole(cut_off); })) << cut;
+      ASSERT_TRUE(cut_off.Await([&] { return cut_off.ended() || IsWhole(cut_off); })) << cut;
     }
-    world.SubscribeToAll(client);
-    ASSERT_TRUE(client.Await([&] { return World::Whole(client); })) << cut;
+    SubscribeToAll(client);
+    ASSERT_TRUE(client.Await([&] { return IsWhole(client); })) << cut;
     EXPECT_TRUE(client.RoutesAsHeld("one", "10.0.0.1")) << cut;
   }
   EXPECT_TRUE(world.Await([](const auto& figures) { return figures.streams == 0; }));
@@ -149,7 +137,7 @@
     const bool bad = type == Type::kCluster && std::find(names.begin(), names.end(), "one") != names.end();
     return bad ? Reply::kNack : Reply::kAck;
   };
-  world.SubscribeToAll(client);
+  SubscribeToAll(client);
   ASSERT_TRUE(client.Await([&] { return client.held(Type::kCluster).contains("two"); }));
   EXPECT_FALSE(client.held(Type::kCluster).contains("one"));
   EXPECT_TRUE(world.Await([](const auto& figures) { return figures.nacks >= 2; }));
@@ -169,8 +157,8 @@
   XdsClient silent(world.server->port(), GetParam(), "silent"),
       good(world.server->port(), GetParam(), "good");
   silent.reply = [](Type, auto&) { return Reply::kNothing; };
-  world.SubscribeToAll(good);
-  world.SubscribeToAll(silent);
+  SubscribeToAll(good);
+  SubscribeToAll(silent);
   ASSERT_TRUE(silent.Await([&] { return silent.ended(); }));
   EXPECT_EQ(silent.status().error_code(), grpc::StatusCode::RESOURCE_EXHAUSTED);
   EXPECT_EQ(silent.status().error_message(), "acknowledges nothing");
@@ -180,10 +168,10 @@
 TEST_P(XdsServer, TwoInstancesTellTheSame) {
   World one, two;
   XdsClient client(one.server->port(), GetParam()), other(two.server->port(), GetParam());
-  one.SubscribeToAll(client);
-  two.SubscribeToAll(other);
-  ASSERT_TRUE(client.Await([&] { return World::Whole(client); }));
-  ASSERT_TRUE(other.Await([&] { return World::Whole(other); }));
+  SubscribeToAll(client);
+  SubscribeToAll(other);
+  ASSERT_TRUE(client.Await([&] { return IsWhole(client); }));
+  ASSERT_TRUE(other.Await([&] { return IsWhole(other); }));
   for (const Type type : {Type::kCluster, Type::kEndpoint, Type::kListener, Type::kRoute}) {
     for (const auto& [name, held] : client.held(type))
       EXPECT_EQ(held.version, other.Version(type, name)) << name;
@@ -200,8 +188,7 @@
   options.hub.proxies = 1;
   World world(options);
   XdsClient first(world.server->port(), true), second(world.server->port(), true);
-  world.SubscribeToAll(first);
-  ASSERT_TRUE(first.Await([&] { return World::Whole(first); }));
+  ASSERT_TRUE(MakeWhole(first));
   second.Connect();
   ASSERT_TRUE(second.Await([&] { return second.ended(); }));
   EXPECT_EQ(second.status().error_code(), grpc::StatusCode::RESOURCE_EXHAUSTED);
@@ -213,8 +200,7 @@
   options.queued_bytes = 256 * 1024;
   World world(options);
   XdsClient good(world.server->port(), true, "good");
-  world.SubscribeToAll(good);
-  ASSERT_TRUE(good.Await([&] { return World::Whole(good); }));
+  ASSERT_TRUE(MakeWhole(good));
   const auto channel = grpc::CreateChannel("127.0.0.1:" + std::to_string(world.server->port()),
                                            grpc::InsecureChannelCredentials());
   grpc::ClientContext context;
