Classes weighed by how they fare, and clients' guesses of the work told to the module

Ruled out: tenants' shares (even), failing hosts, waste. At fault in src/policy.cpp: Release (weights by worth alone), LearnBase (a gateway that starts in a jam takes it for the uncrowded latency), Judge (samples set right by the class's mean), StartLimit, kWaitShare, kTolerated.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -60,6 +60,10 @@
   bool marks_retry = false;    // clients say of a request that it is a further try
   bool retry_after = false;    // clients are told a Refuse's retry_after
   Millis max_retry_after = 0;  // and heed at most this
+  // How the service is judged, in parts of any sum: by the worth of all that is answered within its aim, and
+  // by the share so answered of the class that fares worst.
+  double whole_part = 1;
+  double worst_class_part = 0;
   std::vector<std::string> report_fields;  // names of the values in Outcome::load
 };
 
@@ -74,6 +78,7 @@
   std::string key;         // what the request is about; empty if unknown
   Millis time_left = 0;    // until the client gives this try up
   bool retry = false;      // a client's further try at what it was refused before; only where clients say so
+  Millis cost = 0;         // a guess at the work, as time on a server of size 1; 0 = none
 };
 
 // The answer of a streamed class has begun; the attempt now belongs to the client.
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -103,7 +103,7 @@
     if (!ec && self) self->Overdue(id);
   });
   Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now(),
-                 request.retry});
+                 request.retry, request.cost});
 }
 
 void Pool::Told(const HostList& list) {
--- a/src/http/platform_call.cpp
+++ b/src/http/platform_call.cpp
@@ -31,6 +31,15 @@
   return std::min(value * unit, kMostAllowed);
 }
 
+// A guess that can't be read is no fault: it decides nothing that a request would have to be turned away for.
+Millis ParseCost(std::string_view text) {
+  double value = 0;
+  const char* const last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, value, std::chars_format::fixed);
+  const bool good = error == std::errc() && end == last && std::isfinite(value) && value > 0;
+  return good ? std::min(value / 1000, kMostAllowed) : 0;
+}
+
 Classes PlatformClasses(const Settings& settings) {
   Classes classes;
   for (const ClassSettings& c : settings.classes) classes[c.name] = c.effect;
@@ -70,6 +79,7 @@
   call.tenant = Field(http, "Req-Owner");
   call.retry = http["Req-Retry"] == "1";
   call.key = Field(http, "Req-Key");
+  call.cost = ParseCost(Field(http, "Req-Cost"));
   return std::nullopt;
 }
 
--- a/src/http/platform_call.hpp
+++ b/src/http/platform_call.hpp
@@ -25,6 +25,9 @@
 // "480m" or "480000u": milliseconds. Longer ones are cut to ten minutes: timers must not overflow.
 std::optional<Millis> ParseDeadline(std::string_view text);
 
+// "12500", in microseconds, as milliseconds; 0 = no guess, or one that can't be read.
+Millis ParseCost(std::string_view text);
+
 constexpr std::size_t kMostId = 256;  // characters of a request's id
 
 }  // namespace opalswitch::gateway
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -22,14 +22,18 @@
 constexpr double kUsedUp = 0.8;         // part of the rate that must be spent for it to grow beyond its start
 constexpr double kSink = 0.999;         // part kept at each answer while less is spent there
 constexpr double kCut = 0.85;           // the rate keeps this much at a cut
-constexpr double kTolerated = 0.2;      // failing share of recent outcomes that cuts the rate
+constexpr double kTolerated = 0.3;      // failing share of recent outcomes that cuts the rate
 constexpr double kToleratedMany = 0.1;  // the same where many share a server: none sees much, all add up
 constexpr double kShareBurst = 3;       // requests of its share that a tenant may send at once, at the least
 constexpr double kInUse = 0.5;          // part of the servers' places, that must be in use for a cut
 constexpr Millis kBurst = 50;           // ms of refill that the bucket holds
 constexpr double kCreditCap = 4;        // MCF credit stays within +-this many requests
+constexpr Millis kFareMemory = 20000;   // ms over which it is counted how each class fares
+constexpr double kFareStep = 0.05;      // difference in how two classes fare that shifts e times the weight
 constexpr double kFast = 0.1;           // weight of a new sample in a server's latency
 constexpr double kSteady = 0.02;        // the same in the average whose floor is the uncrowded latency
+constexpr double kHintBase = 1.25;      // times the guessed work, that an uncrowded answer takes at the most
+constexpr double kMostWork = 4;         // times the mean, that a sample counts for at the most
 constexpr double kSlow = 0.01;          // weight of a new sample in a class's latency
 constexpr double kBaseDrift = 0.001;    // how fast the uncrowded latency follows upwards
 constexpr double kSlack = 1.1;          // uncrowded latency times this is no crowding yet
@@ -40,8 +44,9 @@
 constexpr double kSpareBusy = 0.6;      // utilisation above which spare traffic is held back
 constexpr double kSpareShare = 0.3;     // part of a limit open to traffic beyond its share
 constexpr double kManySharers = 8;      // gateways sharing a server beyond which none keeps a limit for it
-constexpr double kHeadroom = 0.7;       // growth of a limit, times its root: small servers grow little
+constexpr double kHeadroom = 1.0;       // growth of a limit, times its root: small servers grow little
 constexpr double kStartLimit = 8;       // requests, over all gateways, that an unmeasured server is given
+constexpr double kGuessStart = 2.5;     // the same where clients guess the work: growth follows as it fits
 constexpr double kReportStart = 2;      // the same where servers report: growth follows as they show room
 constexpr double kLeastLimit = 1;       // the same, least that a crowded server keeps
 constexpr double kErrWeight = 0.2;      // weight of a new outcome in a server's failing share
@@ -56,7 +61,7 @@
 constexpr double kRetryBurst = 20;      // further attempts that may be saved up
 constexpr double kFirstLeft = 0.05;     // weight of a first try in the time that first tries have left
 constexpr double kFirstTry = 0.95;      // part of the most time left below which it is a further try
-constexpr double kWaitShare = 0.25;     // part of its time that a request waits for a token at most
+constexpr double kWaitShare = 0.15;     // part of its time that a request waits for a token at most
 constexpr double kSpareWait = 0.05;     // the same beyond a share: it holds a client's connection for little
 constexpr double kWithin = 0.9;  // tenants with this part of their first tries in share: so are further tries
 constexpr double kWithinMemory = 0.02;  // weight of a first try in that part
@@ -329,11 +334,13 @@
     } else if (!served && !heavy && (b.failing > OutAbove() || b.suspect)) {
       Suspect(b);
     }
-    const double sample = outcome.latency / Relative(flow.cls);
+    const double work = Relative(flow);
+    const double sample = outcome.latency / work;
     // A failure never lowers the latency: fast errors would look like a fast server. And an answer that never
     // came, though others did, or a connection that broke, took no time of the server's: it was lost on the
     // way. It could hurt at a server that answers few so late that most run out of time; these few show it.
-    if (served || (!heavy && !dropped && sample > b.latency)) Measure(b, sample, served);
+    if (served || (!heavy && !dropped && sample > b.latency))
+      Measure(b, sample, std::min(flow.cost > 0 ? work : 1.0, kMostWork), served);
     // A few gateways may have to share a server that takes fewer requests than there are gateways.
     if (b.limit < 1) b.rests_until = now_ + outcome.latency * (1 / b.limit - 1);
     // Drawn anew each time: rounding up would crowd a server by a request for each gateway.
@@ -341,14 +348,16 @@
   }
 
   // Learns the limit of own requests that a server takes uncrowded, from how its latency grows.
-  void Measure(Backend& b, double sample, bool served) {
+  // Where clients guess the work, a sample counts by it: small requests' times say little, and a mean of
+  // their ratios less than the ratio of the means.
+  void Measure(Backend& b, double sample, double work, bool served) {
     ++b.samples;
     ++measured_;
-    b.latency += std::max(kFast, 1.0 / b.samples) * (sample - b.latency);
+    b.latency += Gain(kFast, b.samples, work) * (sample - b.latency);
     Kind& k = *b.kind;
     ++k.samples;
-    k.latency += std::max(kFast / 2, 1.0 / k.samples) * (sample - k.latency);
-    if (served) LearnBase(b, sample);
+    k.latency += Gain(kFast / 2, k.samples, work) * (sample - k.latency);
+    if (served) LearnBase(b, sample, work);
     if (b.base <= 0) return;
     const double ratio = std::sqrt(b.latency / b.base * k.latency / k.base);
     const double overuse = Overuse(b);
@@ -359,20 +368,32 @@
     b.limit = std::max(LeastLimit(), b.limit + (target - b.limit) / std::max(2.0, b.limit));
   }
 
-  void LearnBase(Backend& b, double sample) {
+  static double Gain(double least, int samples, double work) {
+    return std::min(1.0, work * std::max(least, 1.0 / samples));
+  }
+
+  void LearnBase(Backend& b, double sample, double work) {
     Kind& k = *b.kind;
-    k.steady += std::max(kSteady, 1.0 / k.samples) * (sample - k.steady);
+    k.steady += Gain(kSteady, k.samples, work) * (sample - k.steady);
     if (k.samples < 20 || k.steady < k.base) k.base = k.steady;
     k.base += kBaseDrift / 4 * (k.steady - k.base);
-    b.steady += std::max(kSteady, 1.0 / b.samples) * (sample - b.steady);
+    b.steady += Gain(kSteady, b.samples, work) * (sample - b.steady);
     const double known = std::min(1.0, b.samples * kSteady);
     b.base = known < 1 ? known * b.steady + (1 - known) * k.base : std::min(b.base, b.steady);
     b.base += kBaseDrift * (b.latency - b.base);
+    // Who starts in a jam has met no uncrowded answer. Where clients guess the work that is known all the
+    // same: it counts until enough was measured, for all may guess too little.
+    if (known < 1 && mean_cost_ > 0) {
+      const Millis most = kHintBase * mean_cost_ / b.info.weight;
+      b.base = std::min(b.base, most);
+      k.base = std::min(k.base, most);
+    }
   }
 
   // A server that keeps warm for its keys holds more before it is crowded, from the start on.
   double StartLimit() const {
-    return (busy_at_ < set_.report_fields.size() ? kReportStart : kStartLimit * Slack() / kSlack) / sharers_;
+    const double most = mean_cost_ > 0 ? kGuessStart : kStartLimit;
+    return (busy_at_ < set_.report_fields.size() ? kReportStart : most * Slack() / kSlack) / sharers_;
   }
   double LeastLimit() const { return kLeastLimit / sharers_; }
 
@@ -526,6 +547,31 @@
 
   // ---- Queues and Most Credit First ------------------------------------------------------------
 
+  // A class's weight is what a token is worth there: to the whole by its requests' own worth, and to the
+  // class that fares worst as far as that counts by itself. By how many there are of each: then weights that
+  // are alike leave all classes the same share unserved.
+  void Weigh(Millis passed) {
+    if (set_.worst_class_part <= 0) return;
+    const double keep = std::exp(-passed / kFareMemory);
+    double least = 1, asked = 0, worth = 0, behind = 0, sum = 0;
+    for (Tier& c : classes_) {
+      c.asked *= keep;
+      c.in_time *= keep;
+      asked += c.asked;
+      worth += c.asked * c.set.worth;
+      if (c.asked > 1) least = std::min(least, c.Fares());
+    }
+    if (worth <= 0) return;
+    const auto lag = [&](const Tier& c) { return std::exp((least - c.Fares()) / kFareStep); };
+    for (const Tier& c : classes_) behind += c.asked * lag(c);
+    for (Tier& c : classes_) {
+      c.weight =
+          c.asked * asked * (set_.whole_part * c.set.worth / worth + set_.worst_class_part * lag(c) / behind);
+      sum += c.weight;
+    }
+    for (Tier& c : classes_) c.weight /= sum;
+  }
+
   // A share is of what is asked for once. Further tries take nothing of it: a tenant within its share that
   // was refused would seem to be beyond it, and be refused the more.
   bool InShare(const std::string& tenant, bool retry) {
@@ -553,7 +599,10 @@
     flow.cls = found->second;
     flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
     flow.arrived = now_;
+    flow.cost = std::isfinite(r.cost) ? std::clamp(r.cost, 0.0, c.set.deadline) : 0.0;
+    if (flow.cost > 0) LearnCost(flow.cost);
     arriving_ += 1 / kLongMemory;
+    c.asked += 1;
     const Millis left = std::isfinite(r.time_left) ? std::max(0.0, r.time_left) : 0.0;
     flow.leaves_at = now_ + left;
     // A further try has less time left than a first one. If its aim is long past, it is worth as little
@@ -669,7 +718,10 @@
     Backend& b = *attempt.server;
     --b.in_flight;
     --out_now_;
-    if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
+    if (o.result == Result::kServed) {
+      LearnClass(classes_[flow.cls], o.latency);
+      if (now_ <= flow.aim_at) classes_[flow.cls].in_time += 1;
+    }
     if (o.result != Result::kCancelled && o.result != Result::kNotSent) {  // these tell nothing of the server
       MoveRate(b, flow,
                o);  // first: by whether the server was held ready until now
@@ -682,6 +734,17 @@
     Settle(flow);
   }
 
+  void LearnCost(Millis cost) {
+    const bool first = mean_cost_ <= 0;
+    mean_cost_ += (first ? 1 : kSlow) * (cost - mean_cost_);
+    if (!first) return;
+    for (auto& [id, b] : servers_) {
+      if (b.samples > 0) continue;
+      b.limit = b.places = std::min(b.limit, StartLimit());
+      Place(b);
+    }
+  }
+
   void LearnClass(Tier& c, Millis latency) {
     c.latency += std::max(kSlow, 1.0 / ++c.samples) * (latency - c.latency);
     mean_latency_ += std::max(kSlow, 1.0 / ++samples_) * (latency - mean_latency_);
@@ -748,7 +811,9 @@
       ask_at_ = std::numeric_limits<Millis>::infinity();
     }
     if (subset_due_ && now_ >= subset_at_) ChooseSubset();
-    LearnReference(std::min(kLongMemory, now_ - std::exchange(swept_at_, now_)));
+    const Millis passed = std::min(kLongMemory, now_ - std::exchange(swept_at_, now_));
+    LearnReference(passed);
+    Weigh(passed);
     ExpireQueued();
   }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -26,6 +26,8 @@
   Check(Positive(s.fall_multiple), "fall_multiple: must be above 0");
   Check(s.streams >= 1, "streams: must be at least 1");
   Check(Positive(s.ask_within), "ask_within: must be above 0");
+  Check(NotNegative(s.whole_part), "whole_part: must not be negative");
+  Check(NotNegative(s.worst_class_part), "worst_class_part: must not be negative");
   Check(NotNegative(s.max_retry_after), "max_retry_after: must not be negative");
   double worth = 0;
   for (const ClassSettings& c : s.classes) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -93,6 +93,7 @@
   int cls = 0;
   std::uint64_t key = 0;  // 0 = none
   Millis arrived = 0, aim_at = 0, leaves_at = 0;
+  Millis cost = 0;  // its work as the client guesses it; 0 = not told
   bool in_share = true;
   bool answered = false;
   bool queued = false;
@@ -113,13 +114,15 @@
 
 struct Tier {  // one class: its settings, learned latency, credit and queues
   ClassSettings set;
-  double weight = 0;
+  double weight = 0;  // in Most Credit First
   double credit = 0;
-  Millis most_left = 0;  // what a first try still has
+  double asked = 0, in_time = 0;  // requests, and those answered within their aim: both fading
+  Millis most_left = 0;           // what a first try still has
   double latency = 0;
   int samples = 0;
   std::deque<Flow*> retries, in_share, over_share;
 
+  double Fares() const { return in_time / std::max(1.0, asked); }  // part that is answered in time
   std::size_t Size() const { return retries.size() + in_share.size() + over_share.size(); }
   std::deque<Flow*>& Line() { return !retries.empty() ? retries : !in_share.empty() ? in_share : over_share; }
 };
@@ -156,6 +159,7 @@
   double arriving_ = 0;                     // requests per ms, smoothed
   double warm_served_ = 0, warm_time_ = 0;  // answers of warm servers, and their time, both fading
   Millis swept_at_ = 0;
+  Millis mean_cost_ = 0;  // of the requests that tell one
   double mean_latency_ = 0, reference_ = 0, retry_budget_ = 1;
   int samples_ = 0, up_ = 0;
   int out_now_ = 0;  // attempts out
@@ -226,9 +230,11 @@
     return median_ = *middle;
   }
 
-  // A class's latency over the mean of all: 1 until something was learned.
-  double Relative(int cls) const {
-    const double latency = classes_[cls].latency;
+  // A request's work over the mean of all: by what the client guesses, else by its class's latency. 1 until
+  // something was learned.
+  double Relative(const Flow& flow) const {
+    if (flow.cost > 0) return flow.cost / mean_cost_;
+    const double latency = classes_[flow.cls].latency;
     return latency > 0 && mean_latency_ > 0 ? latency / mean_latency_ : 1;
   }
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -184,6 +184,10 @@
     s.cold_for = number();
   } else if (key == "rules.fallMultiple") {
     s.fall_multiple = number();
+  } else if (key == "scoreParts.whole") {
+    s.whole_part = number();
+  } else if (key == "scoreParts.worstClass") {
+    s.worst_class_part = number();
   } else if (key == "familyInfo.warmKeys") {
     s.warm_keys = flag();
   } else if (key == "report.fields") {
@@ -276,7 +280,9 @@
     request.tenant = Optional(parts, 3);
     request.key = Optional(parts, 4);
     request.time_left = Number<double>(Need(parts, 5, "graceMs"), "graceMs");
-    request.retry = (NumberOr<unsigned>(parts, 7, "opts", 0) & 2) != 0;
+    const auto opts = NumberOr<unsigned>(parts, 7, "opts", 0);
+    request.retry = (opts & 2) != 0;
+    if ((opts & 1) != 0) request.cost = NumberOr(parts, 6, "estimateMs", 0.0);
     Deliver(request);
   } else if (word == "COMPLETED") {
     Outcome outcome;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -30,6 +30,25 @@
   EXPECT_NE(reply.find("PASS_ON t/1 h1 400.000\n"), std::string::npos) << reply;
 }
 
+// Guards the guess of the work: it counts where the bit says so, and what is no number is told by name.
+TEST(Wire, GuessOfTheWorkThatIsNoNumberIsNamed) {
+  const auto play = [](const std::string& knock) {
+    Host host;
+    return Play(host, {"TURN 10", "INSTANCE 3", kCreate, "SNAPSHOT_ROWS 0 1", "ENTRY h1 z k 0 up 1 -",
+                       "REGISTRY 0 1 C", knock.c_str(), "EOF_BATCH"});
+  };
+  for (const char* const good : {"KNOCK t/1 view - - 400 12.5 1", "KNOCK t/1 view - - 400 - 1",
+                                 "KNOCK t/1 view - - 400 oops 0", "KNOCK t/1 view - - 400 -3 3"}) {
+    EXPECT_NE(play(good).find("PASS_ON t/1 h1"), std::string::npos) << good;
+  }
+  try {
+    play("KNOCK t/1 view - - 400 oops 1");
+    ADD_FAILURE() << "not told";
+  } catch (const WireError& error) {
+    EXPECT_NE(std::string(error.what()).find("estimateMs"), std::string::npos) << error.what();
+  }
+}
+
 TEST(Wire, ListNumbersAreResolvedInTheOrderOfEvents) {
   Host host;
   const std::string reply =
