A hundred gateways start low, share seven hosts each, and send nothing beyond shares

Cause, counted over all gateways' logs: each began with 1000 requests a second a host and let through what was beyond shares (46% of the load), so that single-core hosts were crowded within 4 s and stayed slow; 30 of 35 single-core hosts then timed out. Each gateway also spread 8 requests a second over 24 hosts.

Change: a start rate that falls with the square of the gateways, down to their part of what tenants are granted; 12 gateways a host (7 hosts each) in place of 40; nothing beyond a share where more than 4 share a host.

--- a/src/module/bucket.cpp
+++ b/src/module/bucket.cpp
@@ -15,11 +15,21 @@
 constexpr double kFailMemory =
     0.05;  // least weight of an outcome in the failing share; else about a second's
 
+// Where many gateways start at once, high rates add up to a jam that outlasts its cause. The more there are,
+// the lower each starts, down to its part of what the tenants are granted; answers raise it from there.
+double Policy::Impl::StartRate() const {
+  double granted = 0;
+  for (const TenantSettings& t : set_.tenants) granted += t.quota_per_s;
+  if (granted <= 0) return kStartRate * up_;  // nobody says what the fleet can do
+  const double others = 1.0 * set_.gateways * set_.gateways;
+  return std::min(kStartRate * up_, std::max(granted / set_.gateways, kStartRate * up_ / others));
+}
+
 void Policy::Impl::Refill(Millis now) {
   const Millis passed = started_ ? std::max(0.0, now - now_) : 0;
   now_ = started_ ? std::max(now_, now) : std::isfinite(now) ? now : 0;  // this order also outlives NaN
   const bool first = rate_ <= 0 && up_ > 0;
-  if (first) rate_ = kStartRate * up_, since_ = now_;
+  if (first) rate_ = StartRate(), since_ = now_;
   const double full = std::max(2.0, rate_ * kBurst / 1000);
   tokens_ = first ? full : std::min(tokens_ + rate_ * passed / 1000, full);
   spent_rate_ *= std::exp(-passed / (kSpentMemory * (sharers_ > kManySharers ? 4 : 1)));
--- a/src/module/impl.hpp
+++ b/src/module/impl.hpp
@@ -94,6 +94,7 @@
 
   // bucket.cpp
   void Refill(Millis now);
+  double StartRate() const;
   double Spent() const;
   bool Crowded() const;
   void MoveRate(const Backend& b, const Flow& flow, const Outcome& outcome);
--- a/src/module/limits.cpp
+++ b/src/module/limits.cpp
@@ -23,6 +23,8 @@
   if (sharers_ > kManySharers) return (in_share || failing_ < kToleratedMany) && WithinBudget(b);
   if (now_ < b.rests_until) return false;
   const double part = in_share || b.kind->busy < kSpareBusy ? 1 : kSpareShare;
+  // Where each gateway has but a part of a server's place, nothing is spare.
+  if (!in_share && sharers_ > kManySharers / 2) return false;
   return b.in_flight < b.places * part && WithinBudget(b);
 }
 
--- a/src/module/membership.cpp
+++ b/src/module/membership.cpp
@@ -3,7 +3,7 @@
 
 namespace opalswitch {
 
-constexpr double kSharers = 40;      // gateways that use a server, where there are more than that
+constexpr double kSharers = 12;      // gateways that use a server, where there are more than that
 constexpr double kLeastServers = 6;  // servers that a gateway uses at the least: some may fail together
 constexpr double kHeldPart = 0.5;    // part of both where connections stay open: full tables cost capacity
 constexpr Millis kAskGap = 100;      // ms before a failed list call is made again; doubles
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -806,6 +806,21 @@
   EXPECT_EQ(one.Serve(100, 200).size(), 2 * held.Serve(100, 200).size());
 }
 
+// Guards hosts against a hundred gateways that start within a moment, each with a high rate of its own.
+TEST(Rate, HundredGatewaysStartTogetherWithinWhatTenantsAreGranted) {
+  Settings s = MakeSettings();
+  s.gateways = 100;
+  s.tenants = {{"shop", 1000}};
+  int sent = 0;
+  for (s.index = 0; s.index < s.gateways; ++s.index) {
+    Gateway g(s, s.index);
+    g.Servers(60);
+    for (int i = 0; i < 20; ++i) sent += !Gateway::SentTo(g.Ask("r" + std::to_string(i))).empty();
+  }
+  EXPECT_GT(sent, 0);
+  EXPECT_LE(sent, 3 * s.gateways);
+}
+
 TEST(Cold, HundredsOfGatewaysTogetherDoNotPushItOver) {
   Settings s = MakeSettings();  // 0.2 of its capacity at first, all after 10 s
   s.gateways = 200;
