--- a/src/module/limits.cpp
+++ b/src/module/limits.cpp
@@ -17,14 +17,13 @@
 constexpr double kReportStart = 2;    // the same where servers report: growth follows as they show room
 
 bool Policy::Impl::Ready(Backend& b, bool in_share) {
+  // Where each gateway has but a part of a server's place, nothing is spare.
+  if (!in_share && sharers_ > kManySharers / 2) return false;
   // Where many share a server, a limit each is a fraction of a request learned from next to nothing. There
-  // the rate alone admits, and what is beyond a share goes only while all goes well: it took tokens like
-  // any.
-  if (sharers_ > kManySharers) return (in_share || failing_ < kToleratedMany) && WithinBudget(b);
+  // the rate alone admits.
+  if (sharers_ > kManySharers) return WithinBudget(b);
   if (now_ < b.rests_until) return false;
   const double part = in_share || b.kind->busy < kSpareBusy ? 1 : kSpareShare;
-  // Where each gateway has but a part of a server's place, nothing is spare.
-  if (!in_share && sharers_ > kManySharers / 2) return false;
   return b.in_flight < b.places * part && WithinBudget(b);
 }
 
