What is beyond a share is refused at once where many gateways share a host

Cause, found on reading the change again: where a host has more than four gateways such traffic can never go, yet the rule stood in the choice of a server, so that it was queued and refused after 5% of its time, under the cause of limits. That is holding back what is given up.

Change: the rule stands where a request comes in and names its cause. The constant is with its user.

--- a/src/module/bucket.cpp
+++ b/src/module/bucket.cpp
@@ -3,15 +3,16 @@
 
 namespace opalswitch {
 
-constexpr double kStartRate = 1000;   // tokens/s a server: "starting high", far above any use
-constexpr double kRaise = 0.3;        // tokens/s gained by each timely answer
-constexpr double kRaiseShare = 0.05;  // part of the rate gained by it at the most
-constexpr double kUsedUp = 0.8;       // part of the rate that must be spent for it to grow beyond its start
-constexpr double kSink = 0.999;       // part kept at each answer while less is spent there
-constexpr double kCut = 0.85;         // the rate keeps this much at a cut
-constexpr double kTolerated = 0.3;    // failing share of recent outcomes that cuts the rate
-constexpr double kInUse = 0.5;        // part of the servers' places, that must be in use for a cut
-constexpr Millis kBurst = 50;         // ms of refill that the bucket holds
+constexpr double kStartRate = 1000;     // tokens/s a server: "starting high", far above any use
+constexpr double kRaise = 0.3;          // tokens/s gained by each timely answer
+constexpr double kRaiseShare = 0.05;    // part of the rate gained by it at the most
+constexpr double kUsedUp = 0.8;         // part of the rate that must be spent for it to grow beyond its start
+constexpr double kSink = 0.999;         // part kept at each answer while less is spent there
+constexpr double kCut = 0.85;           // the rate keeps this much at a cut
+constexpr double kTolerated = 0.3;      // failing share of recent outcomes that cuts the rate
+constexpr double kToleratedMany = 0.1;  // the same where many share a server: each sees little
+constexpr double kInUse = 0.5;          // part of the servers' places, that must be in use for a cut
+constexpr Millis kBurst = 50;           // ms of refill that the bucket holds
 constexpr double kFailMemory =
     0.05;  // least weight of an outcome in the failing share; else about a second's
 
@@ -21,8 +22,8 @@
   double granted = 0;
   for (const TenantSettings& t : set_.tenants) granted += t.quota_per_s;
   if (granted <= 0) return kStartRate * up_;  // nobody says what the fleet can do
-  const double others = 1.0 * set_.gateways * set_.gateways;
-  return std::min(kStartRate * up_, std::max(granted / set_.gateways, kStartRate * up_ / others));
+  const double squared = 1.0 * set_.gateways * set_.gateways;
+  return std::min(kStartRate * up_, std::max(granted / set_.gateways, kStartRate * up_ / squared));
 }
 
 void Policy::Impl::Refill(Millis now) {
--- a/src/module/impl.hpp
+++ b/src/module/impl.hpp
@@ -16,8 +16,6 @@
 namespace opalswitch {
 
 // General choices of the mechanism that several jobs share, tied to no deployment.
-constexpr double kToleratedMany =
-    0.1;                            // failing share that counts where many share a server: each sees little
 constexpr double kFast = 0.1;       // weight of a new sample in a server's latency
 constexpr double kSlack = 1.1;      // uncrowded latency times this is no crowding yet
 constexpr double kWarmSlack = 2;    // the same where latency moves with the keys too
--- a/src/module/limits.cpp
+++ b/src/module/limits.cpp
@@ -17,8 +17,6 @@
 constexpr double kReportStart = 2;    // the same where servers report: growth follows as they show room
 
 bool Policy::Impl::Ready(Backend& b, bool in_share) {
-  // Where each gateway has but a part of a server's place, nothing is spare.
-  if (!in_share && sharers_ > kManySharers / 2) return false;
   // Where many share a server, a limit each is a fraction of a request learned from next to nothing. There
   // the rate alone admits.
   if (sharers_ > kManySharers) return WithinBudget(b);
--- a/src/module/queues.cpp
+++ b/src/module/queues.cpp
@@ -15,6 +15,8 @@
 constexpr double kFirstTry = 0.95;     // part of the most time left below which it is a further try
 constexpr double kWaitShare = 0.15;    // part of its time that a request waits for a token at most
 constexpr double kSpareWait = 0.05;    // the same beyond a share: it holds a client's connection for little
+// Gateways sharing a server beyond which each has but a part of a place there, and nothing is spare.
+constexpr double kSpareSharers = 4;
 constexpr double kWithin = 0.9;  // tenants with this part of their first tries in share: so are further tries
 constexpr double kWithinMemory = 0.02;  // weight of a first try in that part
 
@@ -93,6 +95,7 @@
   flow.in_share = !late && InShare(r.tenant, r.retry);
   retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
   if ((late && c.set.late_worth <= 0) || left <= 0) return Answer(flow, Cause::kTooLate);  // worth nothing
+  if (!flow.in_share && sharers_ > kSpareSharers) return Answer(flow, Cause::kShare);
   if (queued_ == 0 && tokens_ > 0 && Room()) {
     if (Backend* b = Pick(flow)) return Dispatch(flow, *b);
   }
