Watches on discovery end spread, give up in time and ask again by what turns take

Seen by a line a call in all gateways' logs: 100 silent watches, 288 calls given up, 425 refused of about 900.

Change: the decisions of the watch stand in watch_pace (no I/O, no clock): a wait drawn from half to one and a half of 5 s, given up 0.6 s after it and twice what turns took lately, pauses and retries spread likewise, an answer that has begun must end in 1 s, a list of a smaller revision is no news until three whole lists agree, one line in the log for a run of failures. The module's gap between asks grows to half of askWithinMs, a quarter before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,8 @@
 #include "gateway/gateway.hpp"
 
 #include <cstddef>
+#include <cstdio>
+#include <string>
 #include <utility>
 
 #include "base/clock.hpp"
@@ -13,8 +15,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr Millis kAskAgain = 200;  // where lists are pushed: from a call that failed to the next
-
 // The module is told how many attempts there are descriptors for.
 Settings Fitted(const Config& config) {
   Settings settings = config.settings;
@@ -35,7 +35,9 @@
                             false,
                             [this] { discovery_.Watch(); }})),
       discovery_(io, config.discovery, config.known.revision,
-                 {[this](const HostList& list) { pool_->Told(list); }, [this] { ListFailed(); }}),
+                 {[this](const HostList& list) { pool_->Told(list); }, [this] { ListFailed(); },
+                  [](const std::string& line) { std::fprintf(stderr, "forkwick: %s\n", line.c_str()); }},
+                 config.seed),
       ask_again_(io),
       clients_(io, LimitsFor(config.sockets, config.memory_mb),
                {[this] { return pool_->listed() && !stop_.begun(); },
@@ -56,7 +58,7 @@
 void Gateway::ListFailed() {
   pool_->ListFailed();
   if (settings_.ask_for_list) return;  // the policy says when to ask again
-  ask_again_.expires_after(Span(kAskAgain));
+  ask_again_.expires_after(Span(discovery_.RetryGap()));
   ask_again_.async_wait([this](error_code ec) {
     if (!ec) discovery_.Watch();
   });
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -1,5 +1,6 @@
 #include "membership/discovery.hpp"
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -16,11 +17,6 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-constexpr Millis kWait = 5000;  // how long one call of the watch may wait: a cut-off shows only after it
-constexpr Millis kSilence =
-    4000;                       // beyond that (a new watch waits its turn): a call unanswered by then failed
-constexpr Millis kDial = 1000;  // a discovery that is cut off never answers a dial
-constexpr Millis kCallGap = 100;  // least time from call to call; the watch lapses after 200
 constexpr std::size_t kMostList = 8 << 20;
 
 }  // namespace
@@ -28,7 +24,7 @@
 // One call and all that its handlers use, so that those of a call given up touch nothing of the next.
 struct Discovery::Call {
   explicit Call(asio::io_context& io) : timer(io) { parser.body_limit(kMostList); }
-  Millis begun = Now();
+  Millis begun = Now(), asked = begun;  // the call, and its request on a connection that is up
   asio::steady_timer timer;
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
@@ -36,8 +32,13 @@
 };
 
 Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::optional<std::int64_t> revision,
-                     Handlers handlers)
-    : io_(io), address_(address), revision_(revision), handlers_(std::move(handlers)), pause_(io) {}
+                     Handlers handlers, std::uint64_t seed, const WatchTimes& times)
+    : io_(io),
+      address_(address),
+      pace_(revision, times),
+      random_(seed),
+      handlers_(std::move(handlers)),
+      pause_(io) {}
 
 void Discovery::Watch() {
   if (std::exchange(watching_, true)) return;  // asking again would be one more call on a shared service
@@ -47,81 +48,101 @@
 void Discovery::Move(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
-  revision_.reset();
+  pace_.Moved();
   ++moves_;
   Drop();
   watching_ = true;
   Ask();
 }
 
+// The call has failed unless its next step comes within `time`.
+void Discovery::Allow(const std::shared_ptr<Call>& call, Millis time, WatchFault fault) {
+  call->timer.expires_after(Span(time));
+  call->timer.async_wait([this, call, fault, alive = std::weak_ptr(alive_)](error_code ec) {
+    if (!ec && !alive.expired()) Fail(call, fault);
+  });
+}
+
 void Discovery::Ask() {
   const auto call = call_ = std::make_shared<Call>(io_);
-  const bool fresh = socket_ == nullptr;
-  call->timer.expires_after(Span(fresh ? kDial : kWait + kSilence));
-  call->timer.async_wait([this, call, alive = std::weak_ptr(alive_)](error_code ec) {
-    if (!ec && !alive.expired()) Fail(call);
-  });
-  if (!fresh) return Connected(call);
+  if (socket_ != nullptr) return Connected(call);
+  Allow(call, pace_.times().dial, WatchFault::kDial);
   socket_ = std::make_shared<tcp::socket>(io_);
   socket_->async_connect(address_,
                          [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec) {
                            if (alive.expired() || call != call_) return;
-                           if (ec) return Fail(call);
-                           call->timer.expires_after(Span(kWait + kSilence));
-                           call->timer.async_wait([this, call, alive](error_code timer_ec) {
-                             if (!timer_ec && !alive.expired()) Fail(call);
-                           });
+                           if (ec) return Fail(call, WatchFault::kDial, ec.message());
                            Connected(call);
                          });
 }
 
 void Discovery::Connected(const std::shared_ptr<Call>& call) {
+  call->asked = Now();
   call->request.method(http::verb::get);
-  std::string target = "/discovery/hosts";
-  if (revision_) {
-    target += "?after=" + std::to_string(*revision_) + "&wait_ms=" + std::to_string(static_cast<int>(kWait));
-  }
-  call->request.target(target);
+  call->request.target(pace_.Begin(Uniform()));
+  Allow(call, pace_.Patience(), WatchFault::kSilent);
   call->request.set(http::field::host, address_.address().to_string());
-  const auto read = [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec,
-                                                                                  std::size_t) {
-    if (alive.expired() || call != call_) return;
-    ec ? Fail(call) : Answered(call);
-  };
   http::async_write(
       *socket_, call->request,
-      [this, call, socket = socket_, alive = std::weak_ptr(alive_), read](error_code ec, std::size_t) {
+      [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec, std::size_t) {
+        if (alive.expired() || call != call_) return;
+        if (ec) return Fail(call, WatchFault::kBroken, ec.message());
+        Read(call);
+      });
+}
+
+// A watch may be silent for long, but an answer that has begun comes whole at once or never.
+void Discovery::Read(const std::shared_ptr<Call>& call) {
+  http::async_read_header(
+      *socket_, call->buffer, call->parser,
+      [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec, std::size_t) {
         if (alive.expired() || call != call_) return;
-        if (ec) return Fail(call);
-        http::async_read(*socket, call->buffer, call->parser, read);
+        if (ec) return Fail(call, WatchFault::kBroken, ec.message());
+        if (call->parser.is_done()) return Answered(call);
+        Allow(call, pace_.times().rest, WatchFault::kBroken);
+        http::async_read(*socket, call->buffer, call->parser,
+                         [this, call, socket, alive](error_code body_ec, std::size_t) {
+                           if (alive.expired() || call != call_) return;
+                           body_ec ? Fail(call, WatchFault::kBroken, body_ec.message()) : Answered(call);
+                         });
       });
 }
 
 void Discovery::Answered(const std::shared_ptr<Call>& call) {
   const auto& answer = call->parser.get();
-  auto list = answer.result() == http::status::ok ? ParseHostList(answer.body()) : std::nullopt;
-  if (!list) return Fail(call);
+  if (answer.result() != http::status::ok) {
+    return Fail(call, WatchFault::kStatus, std::to_string(answer.result_int()));
+  }
+  auto list = ParseHostList(answer.body());
+  if (!list) return Fail(call, WatchFault::kUnreadable);
+  if (!pace_.Takes(*list)) return Fail(call, WatchFault::kOlder, std::to_string(list->revision));
   call->timer.cancel();
   call_.reset();
   if (!answer.keep_alive()) socket_.reset();
-  revision_ = list->revision;
+  Note(pace_.Succeeded(Now() - call->asked, !list->hosts.empty()));
   const std::weak_ptr alive(alive_);
   handlers_.told(std::move(*list));
   if (alive.expired()) return;
   // A discovery that answers at once, as an agent with pushed lists does, must not be asked in a tight loop.
-  pause_.expires_after(Span(kCallGap - (Now() - call->begun)));
+  pause_.expires_after(
+      Span(std::max(pace_.Pause(Uniform()), pace_.times().least_gap - (Now() - call->begun))));
   pause_.async_wait([this, moves = moves_, alive = std::weak_ptr(alive_)](error_code ec) {
     if (!ec && !alive.expired() && moves == moves_) Ask();
   });
 }
 
-void Discovery::Fail(const std::shared_ptr<Call>& call) {
+void Discovery::Fail(const std::shared_ptr<Call>& call, WatchFault fault, const std::string& detail) {
   if (call != call_) return;
   Drop();
   watching_ = false;
+  Note(pace_.Failed(fault, Now() - call->asked, detail));
   handlers_.failed();
 }
 
+void Discovery::Note(const std::optional<std::string>& line) const {
+  if (line && handlers_.note) handlers_.note(*line);
+}
+
 // Ends the call and the connection; whatever of them is still on its way finds that it is not the current
 // one.
 void Discovery::Drop() {
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -9,8 +9,11 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
+#include <string>
 
 #include "membership/host_list.hpp"
+#include "membership/watch_pace.hpp"
 
 namespace opalswitch::gateway {
 
@@ -18,29 +21,37 @@
  public:
   struct Handlers {
     std::function<void(HostList)> told;
-    std::function<void()> failed;  // the watch has ended; Watch() begins a new one
+    std::function<void()> failed;                       // the watch has ended; Watch() begins a new one
+    std::function<void(const std::string&)> note = {};  // one line for the operators' log; may be empty
   };
   Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address,
-            std::optional<std::int64_t> revision, Handlers handlers);
+            std::optional<std::int64_t> revision, Handlers handlers, std::uint64_t seed,
+            const WatchTimes& times = {});
 
   // Begins a watch, from the last revision known; does nothing while one is on.
   void Watch();
+  // After a failure, for whoever has no better ground to choose when to begin the next watch.
+  Millis RetryGap() { return pace_.RetryGap(Uniform()); }
   // Discovery is elsewhere from now on: what the old one still says is dropped, and the whole list is asked
   // for.
   void Move(const boost::asio::ip::tcp::endpoint& address);
 
  private:
   struct Call;
+  double Uniform() { return std::uniform_real_distribution(0.0, 1.0)(random_); }
   void Ask();
   void Connected(const std::shared_ptr<Call>& call);
   void Answered(const std::shared_ptr<Call>& call);
-  void Fail(const std::shared_ptr<Call>& call);
-
+  void Read(const std::shared_ptr<Call>& call);
+  void Allow(const std::shared_ptr<Call>& call, Millis time, WatchFault fault);
+  void Fail(const std::shared_ptr<Call>& call, WatchFault fault, const std::string& detail = "");
+  void Note(const std::optional<std::string>& line) const;
   void Drop();
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
-  std::optional<std::int64_t> revision_;  // none yet from this discovery: its numbers are its own
+  WatchPace pace_;
+  std::mt19937_64 random_;  // spreads the calls of many gateways
   const Handlers handlers_;
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // kept between the calls of a watch
   std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
--- a/src/membership/source.cpp
+++ b/src/membership/source.cpp
@@ -1,6 +1,7 @@
 #include "membership/source.hpp"
 
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -10,7 +11,6 @@
 namespace {
 
 constexpr std::size_t kMostFile = 8 << 20;
-constexpr Millis kAskAgain = 200;  // from a call that failed to the next
 
 }  // namespace
 
@@ -95,12 +95,14 @@
       discovery_(io, address, std::nullopt,
                  {[this](const HostList& list) { handlers_.told(list); },
                   [this] {
-                    again_.expires_after(Span(kAskAgain));
+                    again_.expires_after(Span(discovery_.RetryGap()));
                     again_.async_wait([this, alive = std::weak_ptr(alive_)](boost::system::error_code ec) {
                       if (!ec && !alive.expired()) discovery_.Watch();
                     });
                     handlers_.failed();
-                  }}) {}
+                  },
+                  handlers_.note},
+                 std::random_device{}()) {}
 
 void DiscoverySource::Start() { discovery_.Watch(); }
 
--- a/src/module/membership.cpp
+++ b/src/module/membership.cpp
@@ -12,7 +12,7 @@
 void Policy::Impl::On(const ServerNews& news) {
   if (news.kind == ServerNews::Kind::kFailed) {
     // The list service may be swamped: ask again later each time, never all gateways at once.
-    ask_gap_ = std::min(std::max(kAskGap, ask_gap_ * 2), set_.ask_within / 4);
+    ask_gap_ = std::min(std::max(kAskGap, ask_gap_ * 2), set_.ask_within / 2);
     ask_at_ = now_ + ask_gap_ * (0.5 + Uniform());
     return;
   }
