A failed watch begins again by one timer, in Discovery itself

Cause: the gateway and the discovery source each kept a timer and a handler that did the same, and asked Discovery only for the gap. Found when the change was read once more, with an accessor and a counter that nobody read, and two tests that differed in one text.

Change: Discovery::WatchLater, on the timer that it has; both callers use it. The accessor, the counter and the twin test body are gone. No bound or assertion changed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 
 // The module is told how many attempts there are descriptors for.
 Settings Fitted(const Config& config) {
@@ -38,7 +37,6 @@
                  {[this](const HostList& list) { pool_->Told(list); }, [this] { ListFailed(); },
                   [](const std::string& line) { std::fprintf(stderr, "forkwick: %s\n", line.c_str()); }},
                  config.seed),
-      ask_again_(io),
       clients_(io, LimitsFor(config.sockets, config.memory_mb),
                {[this] { return pool_->listed() && !stop_.begun(); },
                 [this, classes = PlatformClasses(config.settings)](
@@ -58,10 +56,7 @@
 void Gateway::ListFailed() {
   pool_->ListFailed();
   if (settings_.ask_for_list) return;  // the policy says when to ask again
-  ask_again_.expires_after(Span(discovery_.RetryGap()));
-  ask_again_.async_wait([this](error_code ec) {
-    if (!ec) discovery_.Watch();
-  });
+  discovery_.WatchLater();
 }
 
 void Gateway::Stop(std::function<void()> done, StopTimes times) { stop_.Begin(std::move(done), times); }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 
@@ -37,7 +36,6 @@
   const Settings settings_;
   const std::shared_ptr<Pool> pool_;
   Discovery discovery_;
-  boost::asio::steady_timer ask_again_;
   ClientServer clients_;
   StopSequence stop_;
 };
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -45,6 +45,13 @@
   Ask();
 }
 
+void Discovery::WatchLater() {
+  pause_.expires_after(Span(pace_.RetryGap(Uniform())));
+  pause_.async_wait([this, alive = std::weak_ptr(alive_)](error_code ec) {
+    if (!ec && !alive.expired()) Watch();
+  });
+}
+
 void Discovery::Move(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -30,8 +30,8 @@
 
   // Begins a watch, from the last revision known; does nothing while one is on.
   void Watch();
-  // After a failure, for whoever has no better ground to choose when to begin the next watch.
-  Millis RetryGap() { return pace_.RetryGap(Uniform()); }
+  // The same after the pace's gap, for whoever has no better ground to choose when to try again.
+  void WatchLater();
   // Discovery is elsewhere from now on: what the old one still says is dropped, and the whole list is asked
   // for.
   void Move(const boost::asio::ip::tcp::endpoint& address);
--- a/src/membership/source.cpp
+++ b/src/membership/source.cpp
@@ -91,14 +91,10 @@
 DiscoverySource::DiscoverySource(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
                                  Handlers handlers)
     : handlers_(std::move(handlers)),
-      again_(io),
       discovery_(io, address, std::nullopt,
                  {[this](const HostList& list) { handlers_.told(list); },
                   [this] {
-                    again_.expires_after(Span(discovery_.RetryGap()));
-                    again_.async_wait([this, alive = std::weak_ptr(alive_)](boost::system::error_code ec) {
-                      if (!ec && !alive.expired()) discovery_.Watch();
-                    });
+                    discovery_.WatchLater();
                     handlers_.failed();
                   },
                   handlers_.note},
--- a/src/membership/source.hpp
+++ b/src/membership/source.hpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -75,9 +74,7 @@
 
  private:
   const Handlers handlers_;
-  boost::asio::steady_timer again_;
   Discovery discovery_;
-  const std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 // What a file of hosts says; `error` tells in one line why it says nothing.
--- a/src/membership/watch_pace.cpp
+++ b/src/membership/watch_pace.cpp
@@ -81,7 +81,7 @@
   // Without news the answer came when the wait was over. With news, that were there already or came in the
   // meantime, the turn took that long at the most.
   if (!news && wait_ > 0) LearnTurn(took - wait_);
-  if (news) LearnTurn(std::min(took, failures_ > 0 ? took : turn_));
+  if (news) LearnTurn(failures_ > 0 ? took : std::min(took, turn_));
   const int failed = failures_;
   failures_ = unanswered_ = 0;
   if (failed == 0) return std::nullopt;
--- a/src/membership/watch_pace.hpp
+++ b/src/membership/watch_pace.hpp
@@ -63,7 +63,6 @@
 
   const WatchTimes& times() const { return times_; }
   std::optional<std::int64_t> revision() const { return revision_; }
-  Millis turn() const { return turn_; }  // that a call waited lately until discovery came to it
 
  private:
   void LearnTurn(Millis took);
@@ -71,7 +70,7 @@
   const WatchTimes times_;
   std::optional<std::int64_t> revision_;
   Millis wait_ = 0;  // of the call that is on; 0: asks for the whole list at once
-  Millis turn_ = 0;
+  Millis turn_ = 0;  // that a call waited lately until discovery came to it
   int failures_ = 0, unanswered_ = 0;
   int older_ = 0;  // whole lists in turn that were older than revision_
   std::int64_t older_revision_ = 0;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -219,24 +219,20 @@
   watched.Survives([](Peer::Taken& call) { call.Answer(503, ""); }, "refuses (503)");
 }
 
-TEST(Discovery, SurvivesABreakInsideTheHead) {
+// The connection ends after this much of an answer.
+void SurvivesABreakAfter(const std::string& text) {
   Watched watched(Patient());
   watched.Survives(
       [&](Peer::Taken& call) {
-        call.on->Raw("HTTP/1.1 200 OK\r\nContent-Le");
+        call.on->Raw(text);
         asio::post(watched.io, [on = call.on] { on->Close(); });
       },
       "breaks its answer off");
 }
 
+TEST(Discovery, SurvivesABreakInsideTheHead) { SurvivesABreakAfter("HTTP/1.1 200 OK\r\nContent-Le"); }
 TEST(Discovery, SurvivesABreakInsideTheBody) {
-  Watched watched(Patient());
-  watched.Survives(
-      [&](Peer::Taken& call) {
-        call.on->Raw("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"revision\":42,");
-        asio::post(watched.io, [on = call.on] { on->Close(); });
-      },
-      "breaks its answer off");
+  SurvivesABreakAfter("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"revision\":42,");
 }
 
 // The head has come: what is left is not waited for as long as news are.
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -4,9 +4,10 @@
 #include <gtest/gtest.h>
 #include <malloc.h>
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 
@@ -31,7 +32,7 @@
   std::vector<Server>& hosts() { return hosts_; }
   std::set<std::string> bad;  // say nothing to half of the requests and break the others off
   std::map<std::string, std::map<int, int>> sends;  // by host and 100 ms, from all gateways
-  int answered = 0, served = 0, twice = 0, resent = 0;
+  int served = 0, twice = 0, resent = 0;
   Millis now = 100000;
 
   // A new process with the list of now and no memory; what the old one had is gone with it.
@@ -116,10 +117,7 @@
       if (const auto* fail = std::get_if<Fail>(&a)) Answer(g, fail->request);
     }
   }
-  void Answer(int g, const std::string& id) {
-    answered += 1;
-    twice += gates_[g]->open.erase(id) == 0;
-  }
+  void Answer(int g, const std::string& id) { twice += gates_[g]->open.erase(id) == 0; }
   void Sent(int g, const Send& send) {
     ++sends[send.server][static_cast<int>(now / 100)];
     Flow& flow = gates_[g]->open.at(send.request);
