--- a/tests/random_faults_test.cpp
+++ b/tests/random_faults_test.cpp
@@ -113,8 +113,8 @@
   ASSERT_TRUE(RunUntil(io, [&] { return views.Done() && changes.Done(); }));
   turn.cancel();
 
-  // Wanted are 97%; three tries of which each fails by 0.2 would serve 99.2. Seen on a busy machine: 93 to 99,
-  // in the mean 97.3 (21 runs); before attempts that break by chance were told from a jam, 87.
+  // Wanted are 97%; three tries of which each fails by 0.2 would serve 99.2. Seen on a busy machine: 93 to
+  // 99, in the mean 97.3 (21 runs); before attempts that break by chance were told from a jam, 87.
   EXPECT_GE(views.ServedShare(), 0.90) << Words(views.causes);
   EXPECT_EQ(views.Total(), 1500u);
   EXPECT_EQ(views.lost + changes.lost, 0u);
