A full line at discovery answers nobody: calls are spread, and reports set a rate for each host

Calls that time out in its line are worked through nevertheless, and the gaps of 0.1 to 7 s kept the line full: 89 and 72 of 100 gateways had no list after the restart, and sent to hosts long gone (130 dials a second refused). At fault: kAskGap of 100 ms, the first call at the start, and Pause of up to 3 s, which let watches lapse (a watch goes on within 200 ms). Ruled out: full hosts (util 0.2 there). Change: the first call waits for a turn of 50 ms a gateway, gaps start there; pauses stay under 100 ms; a watch that falls silent or an answer that breaks off is asked for again at once, once.

Cause 2: with the lists known the old hosts choked (9 to 14 in flight, two thirds late) while new ones stood at a utilisation of 0.3: where many share a host no limit is kept, and the reference for cold hosts falls with what the fleet serves. Seen by host's age and kind in the same logs. Change: where more than eight share a host that reports, each gateway keeps to a rate for each host (Budget, Adjust), set by its reports and time-outs; the reference is held for a minute; a tenth of failures cuts the rate only without reports.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -93,7 +93,7 @@
       *socket_, call->request,
       [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec, std::size_t) {
         if (alive.expired() || call != call_) return;
-        if (ec) return Fail(call, WatchFault::kBroken, ec.message());
+        if (ec) return Fail(call, WatchFault::kEnded, ec.message());
         Read(call);
       });
 }
@@ -104,7 +104,8 @@
       *socket_, call->buffer, call->parser,
       [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec, std::size_t) {
         if (alive.expired() || call != call_) return;
-        if (ec) return Fail(call, WatchFault::kBroken, ec.message());
+        const bool begun = call->parser.got_some() || call->buffer.size() > 0;
+        if (ec) return Fail(call, begun ? WatchFault::kBroken : WatchFault::kEnded, ec.message());
         if (call->parser.is_done()) return Answered(call);
         Allow(call, pace_.times().rest, WatchFault::kBroken);
         http::async_read(*socket, call->buffer, call->parser,
@@ -141,8 +142,9 @@
 void Discovery::Fail(const std::shared_ptr<Call>& call, WatchFault fault, const std::string& detail) {
   if (call != call_) return;
   Drop();
-  watching_ = false;
   Note(pace_.Failed(fault, Now() - call->asked, detail));
+  if (pace_.AgainAtOnce(fault)) return Ask();
+  watching_ = false;
   handlers_.failed();
 }
 
--- a/src/membership/watch_pace.cpp
+++ b/src/membership/watch_pace.cpp
@@ -18,6 +18,7 @@
   switch (fault) {
     case WatchFault::kDial: return "can't be reached";
     case WatchFault::kSilent: return "doesn't answer in time";
+    case WatchFault::kEnded: return "ends the watch";
     case WatchFault::kBroken: return "breaks its answer off";
     case WatchFault::kStatus: return "refuses";
     case WatchFault::kUnreadable: return "sends a list that can't be read";
@@ -48,6 +49,11 @@
 
 Millis WatchPace::Pause(double uniform) const { return std::min(times_.most_pause, 2 * turn_) * uniform; }
 
+bool WatchPace::AgainAtOnce(WatchFault fault) const {
+  return failures_ == 1 &&
+         (fault == WatchFault::kSilent || fault == WatchFault::kBroken || fault == WatchFault::kUnreadable);
+}
+
 Millis WatchPace::RetryGap(double uniform) const {
   return Doubled(times_.first_retry, failures_ - 1, times_.most_retry) * (0.5 + uniform);
 }
--- a/src/membership/watch_pace.hpp
+++ b/src/membership/watch_pace.hpp
@@ -23,13 +23,14 @@
   Millis dial = 1000;           // for a connection to come up
   Millis rest = 1000;           // from an answer's head to its end
   Millis least_gap = 100;       // from the start of a call to the start of the next; a watch lapses after 200
-  Millis most_pause = 3000;     // from an answer to the next call where discovery is overbooked
+  Millis most_pause = 100;      // from an answer to the next call: a watch that goes on keeps its turn
   Millis first_retry = 200;     // from a failed call to the next, before it is spread; doubles ...
   Millis most_retry = 3000;     // ... to this
 };
 
-// What came of a call that was not answered as it should be.
-enum class WatchFault { kDial, kSilent, kBroken, kStatus, kUnreadable, kOlder };
+// What came of a call that was not answered as it should be. kEnded: not a byte of an answer came, as when
+// discovery goes down; kBroken: the answer began.
+enum class WatchFault { kDial, kSilent, kEnded, kBroken, kStatus, kUnreadable, kOlder };
 
 class WatchPace {
  public:
@@ -41,9 +42,14 @@
   std::string Begin(double uniform);
   // From the request's last byte to the answer's head.
   Millis Patience() const;
-  // From an answer to the next call. News wake all watches at once, and discovery works through what they
-  // ask next in turn: as far as that took long lately the calls are spread, and later news come together.
+  // From an answer to the next call: a little, as far as turns took long lately. A watch goes on if the next
+  // call comes within 200 ms, and was never made to stand in line; one that lapses has to.
   Millis Pause(double uniform) const;
+  // Whether the call that has just failed is made again at once, without asking anybody. That is so once, and
+  // for faults of this gateway's own call: news that were sent and could not be read count as told, and so do
+  // those that a silent watch missed. Silence is noticed at a time that was drawn, so that it spreads by
+  // itself.
+  bool AgainAtOnce(WatchFault fault) const;
   // From a failed call to the next, for those who are not told when to call.
   Millis RetryGap(double uniform) const;
 
--- a/src/module/attempts.cpp
+++ b/src/module/attempts.cpp
@@ -10,7 +10,7 @@
   const Millis until = classes_[flow.cls].set.late_worth > 0 ? flow.leaves_at : flow.aim_at;
   tokens_ -= 1;
   spent_rate_ += 1000 / kSpentMemory / (sharers_ > kManySharers ? 4 : 1);
-  if (Warmth(b) < 1) b.cold_credit -= 1;
+  if (Warmth(b) < 1 || Metered()) b.cold_credit -= 1;
   ++b.in_flight;
   if (b.suspect) Place(b);  // one trial at a time
   ++out_now_;
--- a/src/module/bucket.cpp
+++ b/src/module/bucket.cpp
@@ -68,8 +68,8 @@
     const double start = kStartRate * std::max(1, up_);
     const double raised = rate_ + std::min(kRaise, kRaiseShare * rate_);
     rate_ = raised <= start || Spent() >= kUsedUp * rate_ ? raised : std::max(start, rate_ * kSink);
-  } else if (failing_ > (sharers_ > kManySharers ? kToleratedMany : kTolerated) && now_ >= cut_after_ &&
-             Crowded()) {
+  } else if (failing_ > (sharers_ > kManySharers && !Metered() ? kToleratedMany : kTolerated) &&
+             now_ >= cut_after_ && Crowded()) {
     rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, Spent()) * kCut);
     cut_after_ = now_ + std::max(100.0, Median());  // one cut a round trip
     Say("rate cut to " + std::to_string(static_cast<int>(rate_)) + "/s");
--- a/src/module/impl.hpp
+++ b/src/module/impl.hpp
@@ -47,6 +47,7 @@
 
   // membership.cpp
   void On(const ServerNews& news);
+  Millis AskSpread() const;
   void Place(Backend& b) { fleet_.Place(b, now_, b.cold_since + set_.cold_for); }
   void OrderRing();
   void ChooseSubset(Backend* only = nullptr);
@@ -56,6 +57,10 @@
   // warm_up.cpp
   double Warmth(const Backend& b) const;
   double ColdRate(const Backend& b) const;
+  // Where many share servers that report, each gateway keeps to a rate for each server that the reports set.
+  bool Metered() const { return sharers_ > kManySharers && busy_at_ < set_.report_fields.size(); }
+  double Budget(const Backend& b) const;
+  void Adjust(Backend& b, double busy);
   bool WithinBudget(Backend& b);
   void LearnReference(Millis passed);
 
--- a/src/module/limits.cpp
+++ b/src/module/limits.cpp
@@ -34,6 +34,7 @@
 void Policy::Impl::Hear(Backend& b, const std::vector<double>& load) {
   if (busy_at_ >= load.size() || !(load[busy_at_] >= 0)) return;
   const double busy = std::min(load[busy_at_], 1.1);  // noise may show more than all
+  Adjust(b, busy);
   b.busy += kBusyWeight * (busy - b.busy);
   b.kind->busy += kBusyWeight / 3 * (busy - b.kind->busy);
 }
--- a/src/module/membership.cpp
+++ b/src/module/membership.cpp
@@ -6,13 +6,20 @@
 constexpr double kSharers = 12;      // gateways that use a server, where there are more than that
 constexpr double kLeastServers = 6;  // servers that a gateway uses at the least: some may fail together
 constexpr double kHeldPart = 0.5;    // part of both where connections stay open: full tables cost capacity
-constexpr Millis kAskGap = 100;      // ms before a failed list call is made again; doubles
+constexpr Millis kAskGap = 100;      // ms before a failed list call is made again, at the least; doubles
+constexpr Millis kAskTurn = 50;      // ms that each gateway is given for its call where all have to make one
 constexpr Millis kSubsetPerServer = 0.02;  // ms for each server between two choices of a large fleet's subset
 
+// Over this time the calls of all gateways are spread, where all may call at once.
+Millis Policy::Impl::AskSpread() const {
+  return std::min(kAskTurn * (set_.gateways - 1), set_.ask_within / 2);
+}
+
 void Policy::Impl::On(const ServerNews& news) {
   if (news.kind == ServerNews::Kind::kFailed) {
-    // The list service may be swamped: ask again later each time, never all gateways at once.
-    ask_gap_ = std::min(std::max(kAskGap, ask_gap_ * 2), set_.ask_within / 2);
+    // The list service may be swamped: ask again later each time, never all gateways at once. Calls that time
+    // out in its line are worked through nevertheless, so a line that is full answers nobody.
+    ask_gap_ = std::min(std::max({kAskGap, AskSpread(), ask_gap_ * 2}), set_.ask_within / 2);
     ask_at_ = now_ + ask_gap_ * (0.5 + Uniform());
     return;
   }
@@ -111,6 +118,8 @@
   b.credit_at = now_;
   b.latency = b.steady = b.base = b.failing = b.busy = b.samples = 0;
   b.limit = b.places = StartLimit();
+  b.allowed = 0;
+  b.heard_at = now_;
   b.suspect = b.lost = false;
   b.trial_gap = kTrialGap;
 }
--- a/src/module/outliers.cpp
+++ b/src/module/outliers.cpp
@@ -75,6 +75,7 @@
   if (outcome.result == Result::kRejected) {  // full is not ill; its latency shows the crowding
     // Resting it keeps its quick refusals, which leave it idle, from drawing ever more to it.
     b.rests_until = std::max(b.rests_until, now_ + b.latency);
+    Adjust(b, 1.1);
     if (b.suspect) Suspect(b);  // but one that hangs fills up: a trial that it turns away has failed
     return;
   }
@@ -85,6 +86,7 @@
   const bool heavy = outcome.result == Result::kTimedOut &&
                      (b.last_served > now_ - outcome.latency || Impatient(flow, outcome));
   if (served) b.last_served = now_;
+  if (outcome.result == Result::kTimedOut && !Impatient(flow, outcome)) Adjust(b, 1.1);
   if (served && Warmth(b) >= 1) warm_served_ += 1;
   if (!heavy) b.failing += kErrWeight * ((served ? 0.0 : 1.0) - b.failing);
   if (!heavy && !b.suspect) unserved_ += kErrAll * ((served ? 0.0 : 1.0) - unserved_);
--- a/src/module/pick.cpp
+++ b/src/module/pick.cpp
@@ -54,7 +54,7 @@
     if (b.in_flight >= b.places) return fleet_.Close(b), true;
   }
   if (WithinBudget(b)) return false;
-  const Millis wait = (1 - b.cold_credit) / std::max(ColdRate(b), 1e-9);
+  const Millis wait = (1 - b.cold_credit) / std::max(Budget(b), 1e-9);
   return fleet_.Rest(b, now_ + std::clamp(wait, 1.0, kMostRest)), true;
 }
 
--- a/src/module/policy.cpp
+++ b/src/module/policy.cpp
@@ -27,8 +27,13 @@
 void Policy::Impl::Handle(Millis now, const Event& event, std::vector<Action>& out) {
   out_ = &out;
   Refill(now);
-  if (!std::exchange(started_, true)) Sweep();
+  const bool first = !std::exchange(started_, true);
   std::visit([this](const auto& e) { On(e); }, event);
+  if (first) {  // who knows hosts waits for a turn: many gateways may start together
+    if (set_.ask_for_list && up_ > 0) ask_at_ = now_ + AskSpread() * Uniform();
+    swept_at_ = now_;
+    Sweep();
+  }
   Release();
 }
 
--- a/src/module/state.hpp
+++ b/src/module/state.hpp
@@ -68,7 +68,9 @@
   Millis trial_gap = 0;
   Millis last_served = kNever;
   Millis cold_since = kNever;
-  double cold_credit = 0;  // requests that it may be sent while cold
+  double allowed = 0;      // requests per ms that it may be sent, as its reports have it; 0 = not known
+  Millis heard_at = 0;     // when that was learned
+  double cold_credit = 0;  // requests that it may be sent now, while cold or where allowed counts
   Millis credit_at = 0;
   // Where the index of all has it (fleet.hpp).
   static constexpr std::size_t kNowhere = static_cast<std::size_t>(-1);
--- a/src/module/warm_up.cpp
+++ b/src/module/warm_up.cpp
@@ -3,7 +3,15 @@
 
 namespace opalswitch {
 
-constexpr Millis kDoubt = 500;  // ms of each server's time that a first few answers are spread over
+constexpr Millis kDoubt = 500;       // ms of each server's time that a first few answers are spread over
+constexpr double kMostCold = 0.7;    // part of that multiple that a cold server is never sent more than
+constexpr double kBusyWanted = 0.7;  // utilisation that budgets are set for
+constexpr Millis kGrow = 1000;       // ms in which a server that reports itself idle is allowed e times
+constexpr Millis kShrink = 300;      // the same for one that is busy by as much too much
+constexpr Millis kReach = 1000;      // ms that one report speaks for at the most
+constexpr double kLeastAllowed =
+    0.0005;                            // requests per ms over all gateways that a server is sent at the least
+constexpr Millis kHeldMemory = 60000;  // ms for which the reference is held while less is answered
 
 // The share of its capacity that a started server surely has by now.
 double Policy::Impl::Warmth(const Backend& b) const {
@@ -19,11 +27,37 @@
   return kColdShare * set_.fall_multiple * Warmth(b) * b.info.weight * reference_ * part;
 }
 
+// Requests per ms that this gateway may send it.
+double Policy::Impl::Budget(const Backend& b) const {
+  const bool warm = Warmth(b) >= 1;
+  if (!Metered()) return warm ? std::numeric_limits<double>::infinity() : ColdRate(b);
+  if (!warm) {
+    const double start = ColdRate(b);
+    return b.allowed > 0 ? std::min(b.allowed, kMostCold / kColdShare * start) : start;
+  }
+  return b.allowed > 0 ? b.allowed
+                       : 1.5 * rate_ / 1000 * b.info.weight * set_.gateways / sharers_ / fleet_.all_weight();
+}
+
+// What many send it together only the server itself can tell. `busy`: its utilisation, by a report or by what
+// became of a request.
+void Policy::Impl::Adjust(Backend& b, double busy) {
+  if (!Metered()) return;
+  const double before = Budget(b);
+  const Millis passed = std::min(kReach, now_ - std::exchange(b.heard_at, now_));
+  const double spare = kBusyWanted - busy;
+  const bool used = b.cold_credit < 1;  // what was not used up shows nothing of what more would do
+  const double step = spare < 0 ? spare * passed / kShrink : used ? spare * passed / kGrow : 0;
+  b.allowed = std::max(kLeastAllowed / sharers_, before * std::exp(step));
+}
+
 // Rule 4: a cold server earns credit by what warm ones answer here. It starts with a chance part of a
 // request: one request each from hundreds of gateways at once would push it over.
 bool Policy::Impl::WithinBudget(Backend& b) {
-  if (Warmth(b) >= 1) return true;
-  b.cold_credit = std::min(1.0, b.cold_credit + ColdRate(b) * (now_ - b.credit_at));
+  const double rate = Budget(b);
+  if (std::isinf(rate)) return true;
+  const double most = Warmth(b) < 1 ? 1 : 2;
+  b.cold_credit = std::min(most, b.cold_credit + rate * (now_ - b.credit_at));
   b.credit_at = now_;
   return b.cold_credit >= 1;
 }
@@ -35,7 +69,9 @@
   fleet_.Warm(now_);
   warm_time_ = warm_time_ * keep + passed * fleet_.warm_weight();
   warm_served_ *= keep;
+  const double held = Metered() ? reference_ * std::exp(-passed / kHeldMemory) : 0;
   reference_ = warm_time_ > 0 ? warm_served_ / (warm_time_ + kDoubt * all) : arriving_ / std::max(1.0, all);
+  reference_ = std::max(reference_, held);
 }
 
 }  // namespace opalswitch
