Budgets leave a third of a core free, less of larger hosts, and grow twice as fast

Cause: budgets that aim at a utilisation of 0.7 everywhere let single cores form lines (a fifth of their requests late at 0.7, 0.05 of the two-core ones), and choke; new hosts stayed at 0.4 for they grew by 20% a second. Change: 1 - 0.35 over the root of the size, twice the growth.

--- a/src/module/warm_up.cpp
+++ b/src/module/warm_up.cpp
@@ -3,12 +3,13 @@
 
 namespace opalswitch {
 
-constexpr Millis kDoubt = 500;       // ms of each server's time that a first few answers are spread over
-constexpr double kMostCold = 0.7;    // part of that multiple that a cold server is never sent more than
-constexpr double kBusyWanted = 0.7;  // utilisation that budgets are set for
-constexpr Millis kGrow = 1000;       // ms in which a server that reports itself idle is allowed e times
-constexpr Millis kShrink = 300;      // the same for one that is busy by as much too much
-constexpr Millis kReach = 1000;      // ms that one report speaks for at the most
+constexpr Millis kDoubt = 500;     // ms of each server's time that a first few answers are spread over
+constexpr double kMostCold = 0.7;  // part of that multiple that a cold server is never sent more than
+constexpr double kLineFree =
+    0.35;  // utilisation that budgets leave free, over the root of the size: larger servers form lines later
+constexpr Millis kGrow = 500;    // ms in which a server that reports itself idle is allowed e times
+constexpr Millis kShrink = 300;  // the same for one that is busy by as much too much
+constexpr Millis kReach = 1000;  // ms that one report speaks for at the most
 constexpr double kLeastAllowed =
     0.0005;                            // requests per ms over all gateways that a server is sent at the least
 constexpr Millis kHeldMemory = 60000;  // ms for which the reference is held while less is answered
@@ -45,7 +46,7 @@
   if (!Metered()) return;
   const double before = Budget(b);
   const Millis passed = std::min(kReach, now_ - std::exchange(b.heard_at, now_));
-  const double spare = kBusyWanted - busy;
+  const double spare = 1 - kLineFree / std::sqrt(std::max(1.0, b.info.weight)) - busy;
   const bool used = b.cold_credit < 1;  // what was not used up shows nothing of what more would do
   const double step = spare < 0 ? spare * passed / kShrink : used ? spare * passed / kGrow : 0;
   b.allowed = std::max(kLeastAllowed / sharers_, before * std::exp(step));
