--- a/src/membership/watch_pace.cpp
+++ b/src/membership/watch_pace.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int kBegunAnew = 3;        // whole lists in turn after which an older count is believed
+constexpr int kAtOnce = 4;           // failed calls in turn up to which a broken answer is asked for at once
 constexpr double kTurnWeight = 0.3;  // of one call in how long a turn takes
 constexpr int kMostDoubled = 16;     // times that anything is doubled: beyond that all bounds are reached
 
@@ -50,8 +51,8 @@
 Millis WatchPace::Pause(double uniform) const { return std::min(times_.most_pause, 2 * turn_) * uniform; }
 
 bool WatchPace::AgainAtOnce(WatchFault fault) const {
-  return failures_ == 1 &&
-         (fault == WatchFault::kSilent || fault == WatchFault::kBroken || fault == WatchFault::kUnreadable);
+  if (fault == WatchFault::kSilent) return failures_ == 1;
+  return failures_ <= kAtOnce && (fault == WatchFault::kBroken || fault == WatchFault::kUnreadable);
 }
 
 Millis WatchPace::RetryGap(double uniform) const {
