--- a/src/module/warm_up.cpp
+++ b/src/module/warm_up.cpp
@@ -7,9 +7,10 @@
 constexpr double kMostCold = 0.7;  // part of that multiple that a cold server is never sent more than
 constexpr double kLineFree =
     0.35;  // utilisation that budgets leave free, over the root of the size: larger servers form lines later
-constexpr Millis kGrow = 500;    // ms in which a server that reports itself idle is allowed e times
-constexpr Millis kShrink = 300;  // the same for one that is busy by as much too much
-constexpr Millis kReach = 1000;  // ms that one report speaks for at the most
+constexpr double kStartPart = 0.6;  // part of a server's part of the rate that it is sent at the start
+constexpr Millis kGrow = 500;       // ms in which a server that reports itself idle is allowed e times
+constexpr Millis kShrink = 300;     // the same for one that is busy by as much too much
+constexpr Millis kReach = 1000;     // ms that one report speaks for at the most
 constexpr double kLeastAllowed =
     0.0005;                            // requests per ms over all gateways that a server is sent at the least
 constexpr Millis kHeldMemory = 60000;  // ms for which the reference is held while less is answered
@@ -36,8 +37,9 @@
     const double start = ColdRate(b);
     return b.allowed > 0 ? std::min(b.allowed, kMostCold / kColdShare * start) : start;
   }
-  return b.allowed > 0 ? b.allowed
-                       : 1.5 * rate_ / 1000 * b.info.weight * set_.gateways / sharers_ / fleet_.all_weight();
+  return b.allowed > 0
+             ? b.allowed
+             : kStartPart * rate_ / 1000 * b.info.weight * set_.gateways / sharers_ / fleet_.all_weight();
 }
 
 // What many send it together only the server itself can tell. `busy`: its utilisation, by a report or by what
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -5,11 +5,14 @@
 #include <malloc.h>
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include "gateway.hpp"
 
@@ -231,6 +234,136 @@
 TEST(LargeFleet, AZoneLostAndBackCold) { ZoneLost(false); }
 TEST(LargeFleet, AZoneLostAndBackColdWhileMostGatewaysAreKilled) { ZoneLost(true); }
 
+// A hundred gateways that know the hosts and must ask for the list: when they ask, in ms since the start,
+// over 30 s. `answers`: whether the list service does; else each call fails after 2 s.
+std::vector<std::vector<Millis>> AsksOfAHundred(bool answers) {
+  std::vector<std::vector<Millis>> asks(kGateways);
+  for (int i = 0; i < kGateways; ++i) {
+    Settings s = MakeSettings();
+    s.gateways = kGateways;
+    s.index = i;
+    s.ask_for_list = true;
+    Gateway g(s, static_cast<std::uint64_t>(i) + 1);
+    const Millis start = g.now;
+    g.Servers(kHosts);
+    Millis fails_at = 1e300;
+    while (g.now < start + 30000) {
+      for (const Action& a : g.Pass(10)) {
+        if (!std::holds_alternative<Watch>(a)) continue;
+        asks[i].push_back(g.now - start);
+        if (!answers) fails_at = g.now + 2000;
+      }
+      if (g.now < fails_at) continue;
+      fails_at = 1e300;
+      g.Do(ServerNews{ServerNews::Kind::kFailed, {}});
+    }
+  }
+  return asks;
+}
+
+// Most calls that come within any `window` ms.
+int MostWithin(const std::vector<std::vector<Millis>>& asks, Millis window) {
+  std::vector<Millis> all;
+  for (const auto& one : asks) all.insert(all.end(), one.begin(), one.end());
+  std::sort(all.begin(), all.end());
+  int most = 0;
+  for (std::size_t from = 0, to = 0; to < all.size(); ++to) {
+    while (all[to] - all[from] > window) ++from;
+    most = std::max(most, static_cast<int>(to - from) + 1);
+  }
+  return most;
+}
+
+// Guards the service of the list against a line so full that whoever stands in it is answered too late: seen
+// were 39 answers to 877 calls.
+TEST(LargeFleet, AHundredGatewaysThatStartTogetherAskForTheListInTurns) {
+  const auto asks = AsksOfAHundred(true);
+  for (const auto& one : asks) {
+    ASSERT_EQ(one.size(), 1u);
+    EXPECT_LE(one[0], 5000);
+  }
+  EXPECT_LE(MostWithin(asks, 1000), 35);  // 20 in the mean
+}
+
+TEST(LargeFleet, CallsForTheListThatFailAreMadeAgainInTurnsAndWithinTheTimeAllowed) {
+  const auto asks = AsksOfAHundred(false);
+  for (const auto& one : asks) {
+    ASSERT_GE(one.size(), 3u);
+    for (std::size_t n = 1; n < one.size(); ++n) EXPECT_LE(one[n] - one[n - 1], 10000) << n;
+  }
+  EXPECT_LE(MostWithin(asks, 1000), 35);
+}
+
+// How many requests each host got in the last 5 s of 15 from one gateway of a hundred that is asked for more
+// than it may send: hosts answer after 100 ms and report `busy`, or never answer where that is above 1.
+std::map<std::string, int> SentByReport(const std::function<double(const std::string&)>& busy) {
+  Settings s = MakeSettings();
+  s.gateways = kGateways;
+  s.index = 0;
+  s.tenants = {{"shop", 4000}};
+  s.report_fields = {"util"};
+  Gateway g(s);
+  g.Servers(kHosts);
+  struct Out {
+    Send send;
+    Millis at;
+  };
+  std::deque<Out> out;
+  std::map<std::string, int> sends;
+  const Millis start = g.now;
+  for (int n = 0; g.now < start + 15000; ++n) {
+    if (n % 3 == 0) g.Ask("r" + std::to_string(n), "view", 400, "shop");
+    g.Pass(10);
+    for (const Send& send : g.sent) {
+      out.push_back({send, g.now});
+      if (g.now >= start + 10000) ++sends[send.server];
+    }
+    g.sent.clear();
+    std::deque<Out> left;
+    for (const Out& o : std::exchange(out, {})) {
+      const double load = busy(o.send.server);
+      const Millis took = load > 1 ? o.send.timeout : 100;
+      if (g.now - o.at < took) {
+        left.push_back(o);
+        continue;
+      }
+      const Result result = load > 1 ? Result::kTimedOut : Result::kServed;
+      const std::vector<double> report = load > 1 ? std::vector<double>{} : std::vector<double>{load};
+      g.Do(Outcome{o.send.request, 0, o.send.server, result, load <= 1, took, report});
+    }
+    out.insert(out.begin(), left.begin(), left.end());
+  }
+  return sends;
+}
+
+// Guards hosts that each gateway sends little: where a hundred do, only their reports tell what it adds up
+// to.
+TEST(LargeFleet, HostsThatReportThemselvesBusyAreSentLessByEachGateway) {
+  const auto idle = SentByReport([](const std::string&) { return 0.3; });
+  const auto crowded = SentByReport([](const std::string&) { return 0.95; });
+  int all_idle = 0, all_crowded = 0;
+  for (const auto& [id, n] : idle) all_idle += n;
+  for (const auto& [id, n] : crowded) all_crowded += n;
+  EXPECT_GE(all_idle, 100);               // of 166 asked for
+  EXPECT_LE(all_crowded, all_idle / 10);  // however high its rate, and though all is answered in time
+  EXPECT_GE(all_crowded, 1);              // never nothing: without an answer there is no report
+}
+
+TEST(LargeFleet, WhatOneHostCanNotTakeGoesToThoseThatReportRoom) {
+  const auto half = [](const std::string& id) { return (id.back() - '0') % 2 == 0 ? 0.95 : 0.3; };
+  int busy = 0, idle = 0;
+  for (const auto& [id, n] : SentByReport(half)) (half(id) > 0.5 ? busy : idle) += n;
+  EXPECT_GE(idle, 80);
+  EXPECT_LE(busy, idle / 5);
+}
+
+TEST(LargeFleet, HostsThatSayNothingInTimeAreSentLessThoughNobodyReports) {
+  const auto silent = [](const std::string& id) { return (id.back() - '0') % 2 == 0 ? 2.0 : 0.3; };
+  int lost = 0, served = 0;
+  for (const auto& [id, n] : SentByReport(silent)) (silent(id) > 1 ? lost : served) += n;
+  EXPECT_LE(lost, served / 3);  // trials of suspects among them
+}
+
 // What is kept of hosts, requests and tenants that are long gone would show as memory that grows.
 TEST(LargeFleet, TwoHostsReplacedASecondForAnHourLeaveNothingBehind) {
   Settings s = MakeSettings();
