--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -35,7 +35,9 @@
   std::vector<Server>& hosts() { return hosts_; }
   std::set<std::string> bad;  // say nothing to half of the requests and break the others off
   std::map<std::string, std::map<int, int>> sends;  // by host and 100 ms, from all gateways
-  int served = 0, twice = 0, resent = 0;
+  bool reports = false;  // hosts tell their utilisation; for gateways that start from then on
+  int places = 1000;  // requests, or the connections for them, that a host holds; beyond that it turns away
+  int served = 0, twice = 0, resent = 0, full = 0, asked = 0;
   Millis now = 100000;
 
   // A new process with the list of now and no memory; what the old one had is gone with it.
@@ -44,6 +46,7 @@
     s.gateways = kGateways;
     s.index = i;
     s.tenants = {{"shop", 1500}};
+    if (reports) s.report_fields = {"util"};
     gates_[i] = std::make_unique<Gate>(Gate{std::make_unique<Policy>(s, ++seeds_), {}, ++lives_});
     Tell(i, ServerNews{ServerNews::Kind::kFull, hosts_});
   }
@@ -104,11 +107,11 @@
   void Ask() {
     const int g = static_cast<int>(random_() % kGateways);
     Request r;
-    r.id = "r" + std::to_string(++asked_);
-    r.class_name = asked_ % 3 == 0 ? "pay" : "view";
+    r.id = "r" + std::to_string(++asked);
+    r.class_name = asked % 3 == 0 ? "pay" : "view";
     r.tenant = "shop";
     r.time_left = 2000;
-    gates_[g]->open[r.id].is_unsafe = asked_ % 3 == 0;
+    gates_[g]->open[r.id].is_unsafe = asked % 3 == 0;
     Do(g, r);
   }
   void Do(int g, const Event& event) {
@@ -131,6 +134,14 @@
     const bool gone =
         std::none_of(hosts_.begin(), hosts_.end(), [&](const Server& s) { return s.id == send.server; });
     const bool breaks = bad.contains(send.server) && random_() % 2 == 0;
+    if (!gone && held_[send.server] >= places) {
+      ++full;
+      flow.may_have_run.push_back(false);
+      return Later(1, g, [this, g, send, attempt] {
+        if (!gates_[g]->open.contains(send.request)) return;
+        Do(g, Outcome{send.request, attempt, send.server, Result::kRejected, false, 1, {}});
+      });
+    }
     const Result result = gone                        ? Result::kConnectFailed
                           : breaks                    ? Result::kReset
                           : bad.contains(send.server) ? Result::kTimedOut
@@ -140,10 +151,14 @@
                         : breaks                    ? 20
                         : bad.contains(send.server) ? send.timeout
                                                     : kWork * (0.5 + Uniform());
+    ++held_[send.server];
+    due_.emplace(now + took, [this, host = send.server] { --held_[host]; });
     Later(took, g, [this, g, send, attempt, result, took] {
       if (!gates_[g]->open.contains(send.request)) return;
       if (result == Result::kServed) ++served, Answer(g, send.request);
-      Do(g, Outcome{send.request, attempt, send.server, result, result == Result::kServed, took, {}});
+      std::vector<double> load;
+      if (reports && result == Result::kServed) load = {std::min(1.0, 1.0 * held_[send.server] / places)};
+      Do(g, Outcome{send.request, attempt, send.server, result, result == Result::kServed, took, load});
     });
   }
 
@@ -152,7 +167,8 @@
   std::vector<std::unique_ptr<Gate>> gates_;
   std::multimap<Millis, std::function<void()>> due_;
   double due_requests_ = 0;
-  int asked_ = 0, replaced_ = 0, lives_ = 0;
+  std::map<std::string, int> held_;  // by host
+  int replaced_ = 0, lives_ = 0;
   std::uint64_t seeds_ = 0;
 };
 
@@ -205,6 +221,28 @@
 TEST(LargeFleet, SixInTenHostsReplacedWhileOneInFiveIsBad) { SixInTenReplaced(false); }
 TEST(LargeFleet, SixInTenHostsReplacedWhileMostGatewaysAreKilled) { SixInTenReplaced(true); }
 
+// A hundred gateways and hosts that hold three connections each: who finds one full goes elsewhere, and does
+// not take it for dead.
+TEST(LargeFleet, HostsThatHoldFewerConnectionsThanThereAreGatewaysAreNeitherStormedNorShunned) {
+  LargeFleet fleet(4);
+  fleet.places = 3;
+  fleet.reports = true;
+  for (int g = 0; g < kGateways; ++g) fleet.Restart(g);
+  fleet.Run(4000, 900);
+  fleet.full = fleet.served = fleet.asked = 0;
+  const Millis from = fleet.now;
+  fleet.Run(6000, 900);
+  EXPECT_GT(fleet.served, 0.9 * fleet.asked);
+  EXPECT_GT(fleet.full, 0);  // else nothing is shown
+  EXPECT_LT(fleet.full, 0.3 * fleet.asked);
+  const double mean = fleet.asked / static_cast<double>(kHosts);
+  for (const auto& host : fleet.hosts()) {
+    EXPECT_GT(fleet.Sent(host.id, from, fleet.now), 0.3 * mean) << host.id;
+    EXPECT_LT(fleet.Sent(host.id, from, fleet.now), 3 * mean) << host.id;
+  }
+  ExpectRules(fleet);
+}
+
 // A third of the hosts falls silent and comes back as new processes.
 void ZoneLost(bool kill) {
   LargeFleet fleet(3);
