--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,6 +1,6 @@
-// One gateway, hosts behind a network, usual clients. Hosts turn some requests away, as always. Some answers are
-// followed by a second copy of themselves, sent right behind when nothing else waits on the connection. Does each
-// client get its own answer, and does no pause-week run twice?
+// One gateway, hosts behind a network, usual clients. Hosts turn some requests away, as always. Some answers
+// are followed by a second copy of themselves, sent right behind when nothing else waits on the connection.
+// Does each client get its own answer, and does no pause-week run twice?
 #include "../lab.hpp"
 
 using namespace lab;
@@ -25,7 +25,8 @@
         std::string answer;
         if (random() % 20 == 0) {
           ++declined;
-          answer = Answer("503 Service Unavailable", "queue full", "Srv-Declined: 1\r\nSrv-Load: inflight=1,util=0.30\r\n");
+          answer = Answer("503 Service Unavailable", "queue full",
+                          "Srv-Declined: 1\r\nSrv-Load: inflight=1,util=0.30\r\n");
         } else {
           ++run;
           if (!request.body.empty()) {
@@ -63,13 +64,16 @@
   const int port = FreePort();
   const std::string listen = "127.0.0.1:" + std::to_string(port),
                     asked = "127.0.0.1:" + std::to_string(discovery.port());
-  WriteFile(folder + "/config.json",
-            "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"discovery\":\"" + asked +
-                "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
-                "\"known\":{\"revision\":1,\"complete\":true,\"members\":[" + members + "]},\"settings\":" + Settings() +
-                "}");
+  WriteFile(
+      folder + "/config.json",
+      "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"discovery\":\"" + asked +
+          "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+          "\"known\":{\"revision\":1,\"complete\":true,\"members\":[" +
+          members + "]},\"settings\":" + Settings() + "}");
   Program gateway(Variable("RUN"),
-                  {{"NODE_NAME", "n1"}, {"NODE_LISTEN", listen}, {"NODE_DISCOVERY", asked},
+                  {{"NODE_NAME", "n1"},
+                   {"NODE_LISTEN", listen},
+                   {"NODE_DISCOVERY", asked},
                    {"NODE_CONFIG", folder + "/config.json"}},
                   folder + "/gateway.log");
   if (!AwaitReady(port)) return Say("the gateway is not ready"), 2;
@@ -93,8 +97,8 @@
           ++served;
         } else {
           ++foreign;
-          Record("client %d: asked %s as %s, was served 200 with '%s'", k, view ? "basket-view" : "pause-week",
-                 id.c_str(), result.body.c_str());
+          Record("client %d: asked %s as %s, was served 200 with '%s'", k,
+                 view ? "basket-view" : "pause-week", id.c_str(), result.body.c_str());
         }
         SleepMs(std::atof(Variable("THINK_MS", "40").c_str()));
       }
@@ -111,14 +115,16 @@
       Record("pause-week %s was run by %s and %s", id.c_str(), names[0].c_str(), names[1].c_str());
     }
   }
-  Say("run by hosts: %d, turned away: %d; second copies: %d, left out since something waited: %d; served with their "
+  Say("run by hosts: %d, turned away: %d; second copies: %d, left out since something waited: %d; served "
+      "with their "
       "own answer: %d, with another's: %d; pause-week run twice: %d; refused or failed: %d",
       run.load(), declined.load(), copies.load(), held_back.load(), served.load(), foreign.load(), twice,
       other.load());
   const bool died = !gateway.Runs();
   if (died) return Say("the gateway %s", gateway.status().c_str()), std::fflush(nullptr), std::_Exit(2), 2;
   gateway.End();
-  if (served < 100 || (trouble && copies < 20)) return Say("too little was sent: no verdict"), std::_Exit(2), 2;
+  if (served < 100 || (trouble && copies < 20))
+    return Say("too little was sent: no verdict"), std::_Exit(2), 2;
   Say("%s", foreign + twice > 0 ? "BROKEN" : "held");
   std::fflush(nullptr);
   std::_Exit(foreign + twice > 0 ? 1 : 0);
