--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,87 @@
+// Tests of the HTTP server for clients, without pools, over loopback sockets.
+#include "http/http_server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "peers.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+// Admission handler for tests of the HTTP server alone, without a pool: rejects nothing.
+std::optional<gateway::LocalReply> AdmitAll(const HttpRequest&, const routing::Target&,
+                                            const gateway::RequestOrigin&, gateway::ClientRequest&) {
+  return std::nullopt;
+}
+
+// Guards against connections held by clients that send nothing or only part of a request: they must be closed
+// in time, the latter with a 408.
+TEST(HttpServer, ClosesSilentConnectionsAndTimesOutPartialRequests) {
+  asio::io_context io;
+  gateway::HttpServerLimits limits;
+  limits.first_request_timeout = limits.request_timeout = 1;
+  gateway::HttpServer server(io, limits, {[] { return true; }, AdmitAll}, "/up");
+  const tcp::endpoint at = server.Listen("", Loopback());
+  Client silent(io, at), half(io, at), body(io, at);
+  half.Send("GET /api HTTP/1.1\r\nReq-");
+  body.Send("POST /api HTTP/1.1\r\nHost: b\r\nContent-Length: 100\r\n\r\nsome");
+  EXPECT_TRUE(silent.AwaitEnd());
+  EXPECT_TRUE(silent.answers().empty());
+  EXPECT_EQ(half.Await().result(), http::status::request_timeout);
+  EXPECT_EQ(body.Await().result(), http::status::request_timeout);
+  EXPECT_TRUE(half.AwaitEnd());
+}
+
+// Guards clients between requests against many clients that connect and send nothing: those are closed first.
+TEST(HttpServer, EvictsSilentConnectionsBeforeIdleKeepAliveOnes) {
+  asio::io_context io;
+  gateway::HttpServerLimits limits;
+  limits.max_connections = 4;
+  limits.first_request_timeout = limits.request_timeout = limits.idle_timeout = 60000;
+  limits.new_connection_grace = 0;
+  gateway::HttpServer server(io, limits, {[] { return true; }, AdmitAll}, "/up");
+  const tcp::endpoint at = server.Listen("", Loopback());
+  Client usual(io, at);
+  usual.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
+  EXPECT_EQ(usual.Await().result(), http::status::ok);
+  std::vector<std::unique_ptr<Client>> silent_clients;
+  for (int i = 0; i < 20; ++i) {
+    silent_clients.push_back(std::make_unique<Client>(io, at));
+    if (i % 2 == 0) silent_clients.back()->Send("GET /api HTT");
+  }
+  EXPECT_TRUE(RunUntil(io, [&] {
+    return std::count_if(silent_clients.begin(), silent_clients.end(),
+                         [](const auto& c) { return c->ended(); }) >= 17;
+  }));
+  EXPECT_FALSE(usual.ended());
+  usual.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
+  EXPECT_EQ(usual.Await(2).result(), http::status::ok);
+}
+
+// Guards a new client whose request is still in transit against being closed for the next new client: it
+// would reconnect, and so would all. The idle keep-alive connection must be closed instead.
+TEST(HttpServer, EvictsAnIdleConnectionBeforeANewOne) {
+  asio::io_context io;
+  gateway::HttpServerLimits limits;
+  limits.max_connections = 3;
+  limits.new_connection_grace = limits.first_request_timeout = limits.idle_timeout = 60000;
+  gateway::HttpServer server(io, limits, {[] { return true; }, AdmitAll}, "/up");
+  const tcp::endpoint at = server.Listen("", Loopback());
+  Client stayed(io, at);
+  stayed.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
+  EXPECT_EQ(stayed.Await().result(), http::status::ok);
+  Client one(io, at), two(io, at);
+  EXPECT_TRUE(stayed.AwaitEnd());
+  for (Client* client : {&one, &two}) {
+    client->Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
+    EXPECT_EQ(client->Await().result(), http::status::ok);
+  }
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
