A request that timed out is answered without a read still pending on its parser

Cause: async_read_header and async_read hold references to the session's buffer and parser. CheckTimeouts answers 408 while one of them is pending; LingerAndClose then destroys both, and the socket stays open to discard input, so the next bytes go into freed memory.

Change: while a request is incomplete only a wait for readability is pending, which uses no memory of the session; its handler checks the phase, reads and parses. Cancelling the read would not do: one that has completed but not been handled can't be cancelled.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 #include <cmath>
 #include <limits>
@@ -30,12 +31,6 @@
 constexpr Millis kNoMemoryRetryAfterMs = 1000;          // Retry-After if the memory for bodies is used up
 constexpr Millis kAcceptRetryDelayMs = 50;  // after a failed accept, for example without descriptors
 
-// Whether the error is a message that violates HTTP, as opposed to a connection that ended.
-bool IsMalformed(error_code ec) {
-  return ec.category() == http::make_error_code(http::error::bad_version).category() &&
-         ec != http::error::end_of_stream && ec != http::error::partial_message;
-}
-
 }  // namespace
 
 // One client connection. Serves one request at a time: pipelined input stays in the socket or the read buffer
@@ -52,8 +47,10 @@
   }
 
   void Start() {
-    error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
+    error_code ec;
+    socket_.set_option(tcp::no_delay(true), ec);
+    socket_.non_blocking(true, ec);
+    if (ec) return Close();
     ReadHeader();
   }
 
@@ -121,10 +118,48 @@
     parser_.emplace();
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());  // set once the header is read
     parser_->header_limit(kMaxHeaderBytes);
-    http::async_read_header(socket_, buffer_, *parser_,
-                            [self = shared_from_this()](error_code ec, std::size_t) {
-                              if (self->phase_ == Phase::kReading) self->OnHeaderRead(ec);
-                            });
+    ContinueReading();
+  }
+
+  // Whether the header or, once that is validated, the whole request has been parsed.
+  bool IsParsed() const { return parser_->eager() ? parser_->is_done() : parser_->is_header_done(); }
+
+  error_code ParseBuffer() {
+    error_code ec;
+    while (!ec && !IsParsed()) {
+      if (buffer_.size() == 0) return http::error::need_more;
+      buffer_.consume(parser_->put(buffer_.data(), ec));
+    }
+    return ec;
+  }
+
+  // Parses the buffered input and, unless that suffices, waits for more. While a request is incomplete only
+  // this wait is pending, which uses neither the parser nor the buffer: the request may be answered, and both
+  // be destroyed, before the input arrives.
+  void ContinueReading() {
+    const error_code ec = ParseBuffer();
+    if (!ec) return parser_->eager() ? SubmitRequest() : OnHeaderRead();
+    if (ec != http::error::need_more) return HandleParseError(ec);
+    if (buffer_.size() == buffer_.max_size()) return HandleParseError(http::error::buffer_overflow);
+    WaitForInput();
+  }
+
+  void WaitForInput() {
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+      if (self->phase_ != Phase::kReading) return;
+      if (ec) return self->Close();
+      self->ReadInput();
+    });
+  }
+
+  void ReadInput() {
+    error_code ec;
+    const std::size_t size = boost::beast::read_size(buffer_, kMaxReadBufferBytes);
+    const std::size_t bytes_read = socket_.read_some(buffer_.prepare(size), ec);
+    if (ec == asio::error::would_block) return WaitForInput();
+    if (ec) return Close();
+    buffer_.commit(bytes_read);
+    ContinueReading();
   }
 
   // Reads the next header after a delay. Until then the client's input stays in the socket.
@@ -137,8 +172,7 @@
 
   // Validates, routes and admits the request before its body is read, so that refused requests use no memory
   // for bodies.
-  void OnHeaderRead(error_code ec) {
-    if (ec) return HandleReadError(ec);
+  void OnHeaderRead() {
     const HttpRequest& head = parser_->get();
     if (const auto reply = ValidateMessage(head, target_)) return RespondAndClose(*reply);
     ClientRequest& request = request_.emplace();
@@ -156,7 +190,7 @@
     }
     if (parser_->is_done()) return SubmitRequest();
     const auto length = parser_->content_length();
-    if (length && *length > request.max_body_bytes) return HandleReadError(http::error::body_limit);
+    if (length && *length > request.max_body_bytes) return HandleParseError(http::error::body_limit);
     const std::uint64_t body_bytes = length ? *length : request.max_body_bytes;
     if (!server_.ReserveBody(body_bytes, reserved_body_bytes_) ||
         (request.reserve_body && !request.reserve_body(body_bytes))) {
@@ -164,16 +198,11 @@
           {http::status::service_unavailable, "no memory for the body", kNoMemoryRetryAfterMs, {}, "memory"});
     }
     parser_->body_limit(request.max_body_bytes);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code body_ec, std::size_t) {
-                       if (self->phase_ != Phase::kReading) return;
-                       if (body_ec) return self->HandleReadError(body_ec);
-                       self->SubmitRequest();
-                     });
+    parser_->eager(true);
+    ContinueReading();
   }
 
-  void HandleReadError(error_code ec) {
-    if (!IsMalformed(ec)) return Close();
+  void HandleParseError(error_code ec) {
     const bool is_body_too_large = ec == http::error::body_limit;
     const bool is_header_too_large = ec == http::error::header_limit || ec == http::error::buffer_overflow;
     RespondAndClose({is_body_too_large     ? http::status::payload_too_large
@@ -318,7 +347,6 @@
     buffer_ = boost::beast::flat_buffer();
     error_code ec;
     socket_.shutdown(tcp::socket::shutdown_send, ec);
-    if (!ec) socket_.non_blocking(true, ec);
     if (ec) return Close();
     DiscardInput(0);
   }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "peers.hpp"
@@ -83,5 +84,37 @@
   }
 }
 
+// Guards against a read that is still pending on a parser that the 408 destroyed: what the client sends after
+// it must be discarded.
+TEST(HttpServer, DiscardsTheRestOfARequestThatWasAnsweredOnTimeout) {
+  const std::string first_line = "POST /api HTTP/1.1\r\n";
+  const std::string header = first_line + "Host: b\r\nContent-Length: 24000\r\n\r\n";
+  struct {
+    std::string before, after;
+  } const inputs[] = {
+      {first_line, "Host: b\r\nContent-Length: 0\r\n\r\n"},
+      {header + std::string(2400, 'x'), std::string(1200, 'x')},
+      {header + std::string(2400, 'x'), std::string(21600, 'x')},
+      {header + std::string(2400, 'x'), ""},  // closes without sending more
+  };
+  for (const auto& input : inputs) {
+    SCOPED_TRACE(std::to_string(input.before.size()) + " bytes, then " + std::to_string(input.after.size()));
+    asio::io_context io;
+    gateway::HttpServerLimits limits;
+    limits.first_request_timeout = limits.request_timeout = 1;
+    limits.linger_timeout = 60000;
+    gateway::HttpServer server(io, limits, {[] { return true; }, AdmitAll}, "/up");
+    Client slow(io, server.Listen("", Loopback()));
+    slow.Send(input.before);
+    EXPECT_EQ(slow.Await().result(), http::status::request_timeout);
+    EXPECT_TRUE(slow.AwaitEnd());  // the server has shut down its sending side
+    EXPECT_EQ(server.connections(), 1u);
+    slow.Send(input.after);
+    slow.Disconnect();
+    EXPECT_TRUE(RunUntil(io, [&] { return server.connections() == 0; }));
+    EXPECT_EQ(slow.answers().size(), 1u);
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
