A connection to a host rests after a response before it carries the next request

Cause: HostPool sent the next request as soon as a response was whole. HTTP/1.1 responses do not name their requests: bytes still on their way were read as the response to the next one, and its own response as that of the one after.

Change: an idle connection is taken once it has been silent for its host's quiet period, 20 ms at first; bytes that come meanwhile close it, and lengthen the period to three times their delay, 200 ms at most, with a line in the log. The decision is QuietPeriod, without I/O.

--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -88,7 +88,7 @@
     : io_(io),
       options_(std::move(options)),
       policy_(options_.settings, options_.seed),
-      host_pool_(io, options_.upstream),
+      host_pool_(io, options_.upstream, [this](const std::string& line) { Execute(Log{line}); }),
       loss_recorder_(options_.settings.classes) {
   for (const ClassSettings& cls : options_.settings.classes) aim_by_class_[cls.name] = cls.aim;
 }
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -8,7 +8,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
+#include <iterator>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -123,13 +125,13 @@
     StartWrite();
   }
 
-  // Whether the host has neither closed the connection nor sent unsolicited bytes. Peeks at the socket,
-  // because the pending wait may not have been notified yet.
-  bool IsReusable() {
-    char byte = 0;
-    return is_open_ && buffer_.size() == 0 &&
-           ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK);
+  // Whether the host has neither closed the connection nor sent unsolicited bytes.
+  bool IsReusable() { return is_open_ && buffer_.size() == 0 && PeekInput() == Input::kNone; }
+
+  // Closes an idle connection on which input or its end has been noticed.
+  void CloseAfterInput() {
+    if (PeekInput() == Input::kBytes) pool_.OnUnsolicitedBytes(host_, Now() - idle_since_);
+    Close();
   }
   Millis idle_since() const { return idle_since_; }
 
@@ -149,6 +151,16 @@
   }
 
  private:
+  enum class Input { kNone, kBytes, kEnd };
+
+  // Looks at the socket itself, because a pending wait may not have been notified yet.
+  Input PeekInput() {
+    char byte = 0;
+    const ssize_t bytes_read = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (bytes_read > 0) return Input::kBytes;
+    return bytes_read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Input::kNone : Input::kEnd;
+  }
+
   void Assign(Exchange exchange) {
     exchange_ = std::move(exchange);
     write_buffer_.clear();
@@ -281,9 +293,9 @@
                        [self = shared_from_this(), generation = ++generation_](error_code) {
                          if (!self->is_open_ || self->generation_ != generation) return;
                          self->pool_.RemoveIdle(self->host_, self.get());
-                         self->Close();
+                         self->CloseAfterInput();
                        });
-    pool_.hosts_[host_].idle.push_back(shared_from_this());
+    pool_.hosts_.at(host_).idle.push_back(shared_from_this());
   }
 
   HostPool& pool_;
@@ -304,7 +316,8 @@
   bool is_open_ = false;
 };
 
-HostPool::HostPool(asio::io_context& io, Limits limits) : io_(io), limits_(std::move(limits)) {}
+HostPool::HostPool(asio::io_context& io, Limits limits, LogWriter write_log)
+    : io_(io), limits_(std::move(limits)), write_log_(std::move(write_log)) {}
 
 HostPool::~HostPool() {
   for (auto& [id, host] : hosts_) CloseIdleConnections(host);
@@ -316,7 +329,7 @@
     for (auto& [id, host] : hosts_) host.is_up = false;
   }
   for (const Host& entry : list.hosts) {
-    HostState& host = hosts_[entry.server.id];
+    HostState& host = hosts_.try_emplace(entry.server.id, QuietPeriod(limits_.quiet_period)).first->second;
     host.is_up = entry.server.state == ServerState::kUp;
     if (host.address != entry.address) CloseIdleConnections(host);
     host.address = entry.address;
@@ -336,15 +349,9 @@
     return attempt;
   }
   Connection::Exchange exchange{attempt, std::move(request), deadline, std::move(done)};
-  auto& idle = found->second.idle;
-  while (!idle.empty()) {
-    const auto connection = std::move(idle.back());
-    idle.pop_back();
-    if (connection->IsReusable()) {
-      connection->SendOnIdle(std::move(exchange));
-      return attempt;
-    }
-    connection->Close();
+  if (const auto connection = TakeIdleConnection(found->second)) {
+    connection->SendOnIdle(std::move(exchange));
+    return attempt;
   }
   if (!ReserveConnection()) {
     exchange.done(Result::kNotSent, {});
@@ -360,6 +367,32 @@
   return attempt;
 }
 
+std::shared_ptr<HostPool::Connection> HostPool::TakeIdleConnection(HostState& host) {
+  auto& idle = host.idle;
+  const Millis quiet_since = Now() - host.quiet_period.duration();
+  // The connections are in the order of idle_since().
+  auto end = idle.end();
+  while (end != idle.begin() && (*std::prev(end))->idle_since() > quiet_since) --end;
+  while (end != idle.begin()) {
+    const auto connection = *--end;
+    end = idle.erase(end);
+    if (connection->IsReusable()) return connection;
+    connection->CloseAfterInput();
+  }
+  return nullptr;
+}
+
+void HostPool::OnUnsolicitedBytes(const std::string& host, Millis delay) {
+  const auto found = hosts_.find(host);
+  if (found == hosts_.end() || !found->second.quiet_period.RecordUnsolicitedBytes(delay)) return;
+  if (!write_log_) return;
+  std::ostringstream line;
+  line << "host " << host << " sent bytes that belong to no request " << delay
+       << " ms after a response; its connections now rest " << found->second.quiet_period.duration()
+       << " ms between requests";
+  write_log_(line.str());
+}
+
 void HostPool::Cancel(std::uint64_t attempt) {
   const auto found = in_flight_.find(attempt);
   if (found == in_flight_.end()) return;
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -1,5 +1,6 @@
-// HTTP/1.1 connections to the hosts of a pool. Each connection carries one request at a time; idle
-// connections are reused, most recently used first. Runs on one event loop; not thread-safe.
+// HTTP/1.1 connections to the hosts of a pool. Each connection carries one request at a time. Idle
+// connections are reused once they have been silent for the host's quiet period, most recently used first.
+// Runs on one event loop; not thread-safe.
 #ifndef OPALSWITCH_UPSTREAM_HOST_POOL_HPP_
 #define OPALSWITCH_UPSTREAM_HOST_POOL_HPP_
 
@@ -17,6 +18,7 @@
 #include "base/http_types.hpp"
 #include "membership/host_list.hpp"
 #include "opalswitch/policy.hpp"
+#include "upstream/quiet_period.hpp"
 
 namespace opalswitch::gateway {
 
@@ -33,12 +35,15 @@
     // descriptors.
     std::function<bool()> acquire_socket = nullptr;
     std::function<void()> release_socket = nullptr;
+    Millis quiet_period = QuietPeriod::kDefaultMs;  // at first; see QuietPeriod
   };
   // Receives the result of an attempt and the host's response, if any. Called once for each Start, possibly
   // before Start returns.
   using Completion = std::function<void(Result, HttpResponse)>;
+  using LogWriter = std::function<void(const std::string& line)>;
 
-  HostPool(boost::asio::io_context& io, Limits limits);
+  // `write_log` may be null.
+  HostPool(boost::asio::io_context& io, Limits limits, LogWriter write_log = nullptr);
   // Closes all connections. Attempts in flight are not completed.
   ~HostPool();
   HostPool(const HostPool&) = delete;
@@ -63,11 +68,20 @@
  private:
   class Connection;
   struct HostState {
+    explicit HostState(QuietPeriod initial_quiet_period) : quiet_period(initial_quiet_period) {}
+
     boost::asio::ip::tcp::endpoint address;
     bool is_up = false;
+    QuietPeriod quiet_period;
     std::vector<std::shared_ptr<Connection>> idle;  // most recently used last
   };
 
+  // Takes the most recently used idle connection that has passed the quiet period; null if there is none.
+  std::shared_ptr<Connection> TakeIdleConnection(HostState& host);
+  // Records that bytes which no request asked for were noticed on a connection `delay` after its last
+  // response.
+  void OnUnsolicitedBytes(const std::string& host, Millis delay);
+
   void CloseIdleConnections(HostState& host);
   // Closes the connection that has been idle the longest; false if none is idle.
   bool CloseLongestIdle();
@@ -80,6 +94,7 @@
 
   boost::asio::io_context& io_;
   const Limits limits_;
+  const LogWriter write_log_;
   std::map<std::string, HostState> hosts_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> in_flight_;  // by attempt
   std::size_t connections_ = 0;
--- a/tests/host_pool_test.cpp
+++ b/tests/host_pool_test.cpp
@@ -20,6 +20,134 @@
   return server;
 }
 
+// Host h0 and a pool that sends to it.
+struct PoolHarness {
+  explicit PoolHarness(Millis quiet_period)
+      : pool(io, MakeLimits(quiet_period), [this](const std::string& line) { log.push_back(line); }) {
+    gateway::HostList list;
+    list.hosts = {{MakeHost("h0"), host.address()}};
+    pool.Update(list);
+  }
+
+  static gateway::HostPool::Limits MakeLimits(Millis quiet_period) {
+    gateway::HostPool::Limits limits;
+    limits.dial_timeout = limits.idle_timeout = 60000;
+    limits.quiet_period = quiet_period;
+    return limits;
+  }
+
+  // Starts an attempt and waits until the host has received it.
+  Peer::ReceivedRequest Start() {
+    const std::size_t received = host.requests.size();
+    const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
+    pool.Start("h0", request, gateway::Now() + 60000, [this](Result result, HttpResponse response) {
+      results.push_back(result);
+      bodies.push_back(response.body());
+    });
+    EXPECT_TRUE(RunUntil(io, [&] { return host.requests.size() > received; }));
+    return host.requests.back();
+  }
+
+  // Answers a request and waits until its attempt has ended.
+  void Answer(const Peer::ReceivedRequest& request, const std::string& body) {
+    const std::size_t ended = results.size();
+    request.Answer(200, body);
+    EXPECT_TRUE(RunUntil(io, [&] { return results.size() > ended; }));
+  }
+
+  asio::io_context io;
+  Peer host{io};
+  std::vector<std::string> log;
+  std::vector<Result> results;
+  std::vector<std::string> bodies;
+  gateway::HostPool pool;
+};
+
+constexpr Millis kLongerThanAnyTestMs = 600000;
+
+// Guards against serving bytes that arrive late behind a response, such as a second copy of it, as the
+// response to the next request.
+TEST(HostPool, LateBytesBehindAResponseDoNotReachTheNextRequest) {
+  for (const char* const late_bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", "noise\r\n\r\n"}) {
+    SCOPED_TRACE(late_bytes);
+    PoolHarness harness(kLongerThanAnyTestMs);
+    const auto first = harness.Start();
+    harness.Answer(first, "first");
+    const auto second = harness.Start();
+    first.connection->Raw(late_bytes);
+    EXPECT_TRUE(RunUntil(harness.io, [&] { return first.connection->ended || harness.results.size() == 2; }));
+    harness.Answer(second, "second");
+    EXPECT_EQ(harness.results, (std::vector{Result::kServed, Result::kServed}));
+    EXPECT_EQ(harness.bodies, (std::vector<std::string>{"first", "second"}));
+    EXPECT_NE(second.connection, first.connection);
+  }
+}
+
+// Guards against needless connects, which cost hosts work: of several idle connections that have passed the
+// quiet period, the most recently used one is taken.
+TEST(HostPool, ReusesTheMostRecentlyUsedQuietConnection) {
+  PoolHarness harness(/*quiet_period=*/0);
+  const auto first = harness.Start(), second = harness.Start();
+  EXPECT_EQ(harness.host.connections.size(), 2u);
+  harness.Answer(first, "");
+  harness.Answer(second, "");
+  const auto third = harness.Start();
+  EXPECT_EQ(harness.host.connections.size(), 2u);
+  EXPECT_EQ(third.connection, second.connection);
+}
+
+// Guards the limit on connections against those that are still in their quiet period: one is closed for a new
+// connection.
+TEST(HostPool, ClosesAConnectionInItsQuietPeriodWhereTheLimitIsReached) {
+  asio::io_context io;
+  Peer host(io);
+  gateway::HostPool::Limits limits = PoolHarness::MakeLimits(kLongerThanAnyTestMs);
+  limits.max_connections = 1;
+  gateway::HostPool pool(io, limits);
+  gateway::HostList list;
+  list.hosts = {{MakeHost("h0"), host.address()}};
+  pool.Update(list);
+  std::vector<Result> results;
+  for (std::size_t sent = 1; sent <= 3; ++sent) {
+    const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
+    pool.Start("h0", request, gateway::Now() + 60000, [&](Result r, HttpResponse) { results.push_back(r); });
+    ASSERT_TRUE(RunUntil(io, [&] { return host.requests.size() == sent; }));
+    host.requests.back().Answer(200, "");
+    ASSERT_TRUE(RunUntil(io, [&] { return results.size() == sent; }));
+    EXPECT_EQ(results.back(), Result::kServed);
+    EXPECT_EQ(pool.connections(), 1u);
+  }
+  EXPECT_EQ(host.connections.size(), 3u);
+}
+
+// Guards operators' view of a host that sends more than its responses: it is named in the log.
+TEST(HostPool, LogsAHostThatSendsUnsolicitedBytes) {
+  PoolHarness harness(/*quiet_period=*/0);
+  const auto request = harness.Start();
+  harness.Answer(request, "");
+  EXPECT_TRUE(harness.log.empty());
+  request.connection->Raw("noise");
+  EXPECT_TRUE(RunUntil(harness.io, [&] { return request.connection->ended; }));
+  ASSERT_EQ(harness.log.size(), 1u);
+  EXPECT_EQ(harness.log[0].find("host h0 sent bytes that belong to no request "), 0u);
+}
+
+// Guards the quiet period of hosts whose extra bytes come later than it allows for: it grows with the delay,
+// within its maximum, and does not shrink.
+TEST(QuietPeriod, GrowsWithTheDelayOfUnsolicitedBytes) {
+  gateway::QuietPeriod period(10);
+  EXPECT_FALSE(period.RecordUnsolicitedBytes(0.5));
+  EXPECT_EQ(period.duration(), 10);
+  EXPECT_TRUE(period.RecordUnsolicitedBytes(8));
+  EXPECT_GE(period.duration(), 2 * 8);
+  const Millis before = period.duration();
+  EXPECT_FALSE(period.RecordUnsolicitedBytes(1));
+  EXPECT_EQ(period.duration(), before);
+  EXPECT_TRUE(period.RecordUnsolicitedBytes(60000));
+  EXPECT_EQ(period.duration(), gateway::QuietPeriod::kMaxMs);
+}
+
 // Guards the time between connect and write: a host that starts draining in it must get no byte. The connect
 // hangs because the listener's queue is full, and completes when there is room.
 TEST(HostPool, WritesNothingToAHostThatDrainsDuringTheConnect) {
