--- a/src/upstream/quiet_period.hpp
+++ b/src/upstream/quiet_period.hpp
@@ -14,7 +14,7 @@
 // arrive meanwhile, it is closed.
 class QuietPeriod {
  public:
-  static constexpr Millis kDefaultMs = 20;
+  static constexpr Millis kDefaultMs = 10;
   static constexpr Millis kMaxMs = 200;
 
   explicit QuietPeriod(Millis initial = kDefaultMs) : duration_(initial) {}
