Tests of connection reuse: the replaced gateway test is back with all its checks

Cause: read once more, Gateway.ReusesQuietConnections was weaker than Gateway.ReusesTheMostRecentlyUsedConnection, which it replaced: it took any reuse within 30 s for a pass and did not look at which connection was taken. One test of HostPool repeated its harness with one limit more.

Change: Gateway.ReusesTheMostRecentlyUsedConnection stands again, line for line, with one step between: it waits on the clock until the quiet period of the second response is over, since reuse before that is the fault that was mended. ReusesQuietConnections goes: all it checked follows from this. PoolHarness takes the limits, so the test of the connection limit uses it, with its checks kept.

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -15,6 +15,7 @@
 #include "http/platform_request.hpp"
 #include "peers.hpp"
 #include "routing/target.hpp"
+#include "upstream/quiet_period.hpp"
 
 namespace opalswitch::testing {
 namespace {
@@ -411,18 +412,27 @@
   EXPECT_EQ(client->answers().size(), 2u);
 }
 
-// Guards against needless connects, which cost hosts work: requests share connections that are quiet.
-TEST(Gateway, ReusesQuietConnections) {
+// Guards against needless connects, which cost hosts work: sequential requests share a connection, and of
+// several idle ones that have passed the quiet period the most recently used is taken.
+TEST(Gateway, ReusesTheMostRecentlyUsedConnection) {
   GatewayHarness harness;
   Peer& host = harness.host();
-  host.serve = [](const Peer::ReceivedRequest& request) { request.Answer(200, ""); };
-  const auto client = harness.Connect();
-  std::size_t sent = 0;
-  EXPECT_TRUE(harness.Until([&] {
-    client->Send(ApiRequest("r" + std::to_string(++sent)));
-    client->Await(sent);
-    return host.connections.size() < host.requests.size();
-  }));
+  const auto one = harness.Connect(), two = harness.Connect();
+  one->Send(ApiRequest("r1"));
+  ASSERT_TRUE(harness.Until([&] { return host.requests.size() == 1; }));
+  two->Send(ApiRequest("r2"));
+  ASSERT_TRUE(harness.Until([&] { return host.requests.size() == 2; }));
+  EXPECT_EQ(host.connections.size(), 2u);
+  host.requests[0].Answer(200, "");
+  one->Await();
+  host.requests[1].Answer(200, "");
+  two->Await();
+  const Millis quiet_at = gateway::Now() + gateway::QuietPeriod::kDefaultMs;
+  ASSERT_TRUE(harness.Until([&] { return gateway::Now() > quiet_at; }));
+  one->Send(ApiRequest("r3"));
+  ASSERT_TRUE(harness.Until([&] { return host.requests.size() == 3; }));
+  EXPECT_EQ(host.connections.size(), 2u);
+  EXPECT_EQ(host.requests[2].connection, host.requests[1].connection);
 }
 
 // Guards against writing to a connection that the host closed while it was idle: the reset would fail an
--- a/tests/host_pool_test.cpp
+++ b/tests/host_pool_test.cpp
@@ -20,22 +20,22 @@
   return server;
 }
 
+gateway::HostPool::Limits LimitsWithQuietPeriod(Millis quiet_period) {
+  gateway::HostPool::Limits limits;
+  limits.dial_timeout = limits.idle_timeout = 60000;
+  limits.quiet_period = quiet_period;
+  return limits;
+}
+
 // Host h0 and a pool that sends to it.
 struct PoolHarness {
-  explicit PoolHarness(Millis quiet_period)
-      : pool(io, MakeLimits(quiet_period), [this](const std::string& line) { log.push_back(line); }) {
+  explicit PoolHarness(const gateway::HostPool::Limits& limits)
+      : pool(io, limits, [this](const std::string& line) { log.push_back(line); }) {
     gateway::HostList list;
     list.hosts = {{MakeHost("h0"), host.address()}};
     pool.Update(list);
   }
 
-  static gateway::HostPool::Limits MakeLimits(Millis quiet_period) {
-    gateway::HostPool::Limits limits;
-    limits.dial_timeout = limits.idle_timeout = 60000;
-    limits.quiet_period = quiet_period;
-    return limits;
-  }
-
   // Starts an attempt and waits until the host has received it.
   Peer::ReceivedRequest Start() {
     const std::size_t received = host.requests.size();
@@ -71,7 +71,7 @@
   for (const char* const late_bytes :
        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst", "noise\r\n\r\n"}) {
     SCOPED_TRACE(late_bytes);
-    PoolHarness harness(kLongerThanAnyTestMs);
+    PoolHarness harness(LimitsWithQuietPeriod(kLongerThanAnyTestMs));
     const auto first = harness.Start();
     harness.Answer(first, "first");
     const auto second = harness.Start();
@@ -87,7 +87,7 @@
 // Guards against needless connects, which cost hosts work: of several idle connections that have passed the
 // quiet period, the most recently used one is taken.
 TEST(HostPool, ReusesTheMostRecentlyUsedQuietConnection) {
-  PoolHarness harness(/*quiet_period=*/0);
+  PoolHarness harness(LimitsWithQuietPeriod(0));
   const auto first = harness.Start(), second = harness.Start();
   EXPECT_EQ(harness.host.connections.size(), 2u);
   harness.Answer(first, "");
@@ -100,30 +100,22 @@
 // Guards the limit on connections against those that are still in their quiet period: one is closed for a new
 // connection.
 TEST(HostPool, ClosesAConnectionInItsQuietPeriodWhereTheLimitIsReached) {
-  asio::io_context io;
-  Peer host(io);
-  gateway::HostPool::Limits limits = PoolHarness::MakeLimits(kLongerThanAnyTestMs);
+  gateway::HostPool::Limits limits = LimitsWithQuietPeriod(kLongerThanAnyTestMs);
   limits.max_connections = 1;
-  gateway::HostPool pool(io, limits);
-  gateway::HostList list;
-  list.hosts = {{MakeHost("h0"), host.address()}};
-  pool.Update(list);
-  std::vector<Result> results;
+  PoolHarness harness(limits);
   for (std::size_t sent = 1; sent <= 3; ++sent) {
-    const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
-    pool.Start("h0", request, gateway::Now() + 60000, [&](Result r, HttpResponse) { results.push_back(r); });
-    ASSERT_TRUE(RunUntil(io, [&] { return host.requests.size() == sent; }));
-    host.requests.back().Answer(200, "");
-    ASSERT_TRUE(RunUntil(io, [&] { return results.size() == sent; }));
-    EXPECT_EQ(results.back(), Result::kServed);
-    EXPECT_EQ(pool.connections(), 1u);
+    harness.Answer(harness.Start(), "");
+    ASSERT_EQ(harness.host.requests.size(), sent);
+    ASSERT_EQ(harness.results.size(), sent);
+    EXPECT_EQ(harness.results.back(), Result::kServed);
+    EXPECT_EQ(harness.pool.connections(), 1u);
   }
-  EXPECT_EQ(host.connections.size(), 3u);
+  EXPECT_EQ(harness.host.connections.size(), 3u);
 }
 
 // Guards operators' view of a host that sends more than its responses: it is named in the log.
 TEST(HostPool, LogsAHostThatSendsUnsolicitedBytes) {
-  PoolHarness harness(/*quiet_period=*/0);
+  PoolHarness harness(LimitsWithQuietPeriod(0));
   const auto request = harness.Start();
   harness.Answer(request, "");
   EXPECT_TRUE(harness.log.empty());
