The log names requests whose connection ends, requests not served, and failing connections

Change: a line for each request whose client connection ends before its response, with id, reason and error; a line for each request that was sent to a host and not served, with its attempts; counts of how connections end, of failed accepts and of waits that end without input (ledger/connections); retries in the losses lines. The front end and HostPool look at a socket's input through one function (base/socket_input). The tests' harnesses move to headers; the process test's check that the gateway listens is now in GatewayProcess, for all its users.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,8 @@
                         ClientRequest& request) {
                       request.pool = pool_;
                       return ReadPlatformRequest(classes, head, target, request);
-                    }},
+                    },
+                    nullptr, [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); }},
                    "/up"),
       stop_(io, http_server_, [this] { pool_->FailPending(); }) {
   http_server_.Listen("", config.listen);
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdio>
 #include <limits>
+#include <sstream>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -132,13 +133,15 @@
   if (pending == nullptr) return;
   Attempt& ended = pending->attempts[attempt];
   ended.in_flight = false;
+  ended.result = result;
+  ended.duration = Now() - ended.sent_at;
   const auto report = response["Srv-Load"];
   Outcome outcome{id,
                   static_cast<int>(attempt),
                   ended.host,
                   result,
                   false,
-                  Now() - ended.sent_at,
+                  ended.duration,
                   ParseLoadReport({report.data(), report.size()}, options_.settings.load_report_fields)};
   if (options_.plain && result == Result::kError) {
     pending->last_error = std::make_shared<HttpResponse>(response);
@@ -146,7 +149,7 @@
     pending->last_error->erase("Srv-Load");
   }
   if (result != Result::kServed)
-    loss_recorder_.RecordWastedAttempt(pending->class_name, result, Now() - ended.sent_at);
+    loss_recorder_.RecordWastedAttempt(pending->class_name, result, ended.duration);
   if (result == Result::kServed) {
     if (!pending->is_answered)
       RecordOutcome(
@@ -205,6 +208,7 @@
   }
   const std::size_t index = pending->attempts.size();
   pending->attempts.push_back({send.server, now});
+  if (index > 0) loss_recorder_.RecordRetry(pending->class_name);
   const Millis deadline = send.timeout > 0 ? std::min(now + send.timeout, pending->response_deadline)
                                            : pending->response_deadline;
   const std::uint64_t upstream_id =
@@ -277,9 +281,31 @@
   Respond(pending, std::move(response));
 }
 
-void Pool::RecordOutcome(const PendingRequest& pending, ledger::RequestOutcome outcome,
-                         std::string_view cause) {
-  loss_recorder_.RecordRequest(pending.class_name, outcome, cause, Now() - pending.received_at);
+void Pool::RecordOutcome(PendingRequest& pending, ledger::RequestOutcome outcome, std::string_view cause) {
+  pending.outcome = outcome;
+  pending.cause = cause;
+  pending.ended_at = Now();
+  loss_recorder_.RecordRequest(pending.class_name, outcome, cause, pending.ended_at - pending.received_at);
+}
+
+void Pool::LogUnservedRequest(const std::string& id, const PendingRequest& pending) {
+  const bool is_served =
+      pending.outcome == ledger::RequestOutcome::kInTime || pending.outcome == ledger::RequestOutcome::kLate;
+  if (is_served || pending.attempts.empty()) return;
+  const auto suppressed = request_log_throttle_.Admit(Now());
+  if (!suppressed) return;
+  std::ostringstream line;
+  line << "request " << id << " class=" << pending.class_name
+       << " ended=" << ledger::OutcomeName(pending.outcome);
+  if (!pending.cause.empty()) line << " cause=" << pending.cause;
+  line << " after_ms=" << pending.ended_at - pending.received_at << " attempts=";
+  for (std::size_t i = 0; i < pending.attempts.size(); ++i) {
+    const Attempt& attempt = pending.attempts[i];
+    line << (i > 0 ? "," : "") << attempt.host << ":" << ledger::ResultName(attempt.result) << ":"
+         << attempt.duration;
+  }
+  if (*suppressed > 0) line << " suppressed=" << *suppressed;
+  Execute(Log{line.str()});
 }
 
 // Logs what was lost since the last lines, and which hosts are ejected or have a reduced weight. At most one
@@ -320,6 +346,7 @@
   if (found == requests_.end() || !found->second.is_answered) return;
   const auto& attempts = found->second.attempts;
   if (std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.in_flight; })) {
+    LogUnservedRequest(id, found->second);
     requests_.erase(found);
     if (requests_.empty() && on_idle_) asio::post(io_, on_idle_);
   }
--- a/src/gateway/pool.hpp
+++ b/src/gateway/pool.hpp
@@ -16,6 +16,7 @@
 
 #include "gateway/client_request.hpp"
 #include "ledger/losses.hpp"
+#include "limits/log_throttle.hpp"
 #include "membership/host_list.hpp"
 #include "opalswitch/policy.hpp"
 #include "upstream/host_pool.hpp"
@@ -68,6 +69,8 @@
     Millis sent_at = 0;
     std::uint64_t upstream_id = 0;  // id of the attempt in HostPool, for Cancel
     bool in_flight = true;
+    Result result = Result::kNotSent;  // once it has ended
+    Millis duration = 0;               // the same
   };
   // State of a request until it is answered and all its attempts have ended.
   struct PendingRequest {
@@ -80,6 +83,10 @@
     Millis received_at = 0, aim_deadline = 0;  // a response after aim_deadline is late
     Millis response_deadline = 0;              // the module must have answered by then
     bool is_answered = false;
+    // How it ended, once it has, and why if it was refused or has failed.
+    ledger::RequestOutcome outcome = ledger::RequestOutcome::kInTime;
+    std::string cause;
+    Millis ended_at = 0;
     std::vector<Attempt> attempts;
     boost::asio::steady_timer deadline_timer;
   };
@@ -108,7 +115,9 @@
   // outcome.
   void RespondWithCause(PendingRequest& pending, ledger::RequestOutcome outcome, HttpResponse response,
                         std::string_view cause);
-  void RecordOutcome(const PendingRequest& pending, ledger::RequestOutcome outcome, std::string_view cause);
+  void RecordOutcome(PendingRequest& pending, ledger::RequestOutcome outcome, std::string_view cause);
+  // Writes a line about a finished request that was sent to a host and not answered by it.
+  void LogUnservedRequest(const std::string& id, const PendingRequest& pending);
   // Writes the log lines "losses ..." and "hosts ..." if they are due.
   void LogLosses();
   // Forgets the request if it is answered and no attempt is in flight.
@@ -121,6 +130,7 @@
   std::unordered_map<std::string, PendingRequest> requests_;
   std::deque<Event> events_;
   ledger::LossRecorder loss_recorder_;
+  limits::LogThrottle request_log_throttle_;
   std::unordered_map<std::string, Millis> aim_by_class_;
   bool handling_events_ = false;
   bool has_hosts_ = false;
--- a/src/gateway/service_gateway.cpp
+++ b/src/gateway/service_gateway.cpp
@@ -110,7 +110,8 @@
            },
            [this](const HttpRequest& head, const routing::Target& target, const RequestOrigin& origin,
                   ClientRequest& request) { return HandleRequestHead(head, target, origin, request); },
-           [this] { return snapshot_->services->reports_cause; }},
+           [this] { return snapshot_->services->reports_cause; },
+           [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); }},
           services->health_path),
       stop_(io, http_server_, [this] {
         for (const auto& entry : snapshot_->pools) entry->pool->FailPending();
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -8,11 +8,14 @@
 #include <cmath>
 #include <limits>
 #include <optional>
+#include <sstream>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "base/clock.hpp"
+#include "base/socket_error.hpp"
+#include "base/socket_input.hpp"
 #include "gateway/pool.hpp"
 #include "http/message_rules.hpp"
 
@@ -22,6 +25,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
+using ledger::ConnectionEnd;
 using tcp = asio::ip::tcp;
 
 constexpr Millis kTimeoutCheckIntervalMs = 200;
@@ -50,7 +54,7 @@
     error_code ec;
     socket_.set_option(tcp::no_delay(true), ec);
     socket_.non_blocking(true, ec);
-    if (ec) return Close();
+    if (ec) return Close(ConnectionEnd::kSetupFailed, ec);
     ReadHeader();
   }
 
@@ -77,8 +81,13 @@
     return phase_ == Phase::kLingering || (phase_ == Phase::kReading && socket_.available(ec) == 0);
   }
 
-  void Close() {
-    if (std::exchange(phase_, Phase::kClosed) == Phase::kClosed) return;
+  // `error`: the failure that ends the connection, if one does.
+  void Close(ConnectionEnd end, const error_code& error = {}) {
+    const Phase phase = std::exchange(phase_, Phase::kClosed);
+    if (phase == Phase::kClosed) return;
+    const bool loses_request = phase == Phase::kAwaitingResponse || phase == Phase::kWriting;
+    server_.connection_recorder_.RecordEnd(end, error ? ErrorName(error) : "", loses_request);
+    if (loses_request) server_.LogLostRequest(request_id_, end, error, Now() - phase_started_at_);
     error_code ignored;
     socket_.close(ignored);
     ReleaseReservations();
@@ -96,10 +105,11 @@
       if (now - phase_started_at_ >
               (responses_sent_ == 0 ? limits.first_request_timeout : limits.idle_timeout) &&
           IsIdle())
-        Close();
-    } else if ((phase_ == Phase::kWriting && now - phase_started_at_ > limits.write_timeout) ||
-               (phase_ == Phase::kLingering && now - phase_started_at_ > limits.linger_timeout)) {
-      Close();
+        Close(ConnectionEnd::kIdleTimeout);
+    } else if (phase_ == Phase::kWriting && now - phase_started_at_ > limits.write_timeout) {
+      Close(ConnectionEnd::kWriteTimeout);
+    } else if (phase_ == Phase::kLingering && now - phase_started_at_ > limits.linger_timeout) {
+      Close(ConnectionEnd::kResponded);
     }
   }
 
@@ -115,6 +125,7 @@
   bool HasPartialRequest() const { return buffer_.size() > 0 || parser_->got_some(); }
 
   void ReadHeader() {
+    request_id_.clear();
     parser_.emplace();
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());  // set once the header is read
     parser_->header_limit(kMaxHeaderBytes);
@@ -147,7 +158,7 @@
   void WaitForInput() {
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
       if (self->phase_ != Phase::kReading) return;
-      if (ec) return self->Close();
+      if (ec) return self->Close(ConnectionEnd::kReadFailed, ec);
       self->ReadInput();
     });
   }
@@ -156,12 +167,20 @@
     error_code ec;
     const std::size_t size = boost::beast::read_size(buffer_, kMaxReadBufferBytes);
     const std::size_t bytes_read = socket_.read_some(buffer_.prepare(size), ec);
-    if (ec == asio::error::would_block) return WaitForInput();
-    if (ec) return Close();
+    if (ec == asio::error::would_block) {
+      server_.connection_recorder_.RecordWakeupWithoutInput();
+      return WaitForInput();
+    }
+    if (ec) return CloseAfterReadError(ec);
     buffer_.commit(bytes_read);
     ContinueReading();
   }
 
+  void CloseAfterReadError(const error_code& ec) {
+    if (ec == asio::error::eof) return Close(ConnectionEnd::kClientClosed);
+    Close(ConnectionEnd::kReadFailed, ec);
+  }
+
   // Reads the next header after a delay. Until then the client's input stays in the socket.
   void ReadHeaderAfter(Millis pause) {
     const auto timer = std::make_shared<asio::steady_timer>(server_.io_, ToDuration(pause));
@@ -254,8 +273,12 @@
             self->next_request_received_at_ = Now();
             return;
           }
+          const SocketInput input = PeekInput(self->socket_);
+          if (input.state == SocketInput::State::kNone) {
+            self->server_.connection_recorder_.RecordWakeupWithoutInput();
+          }
           const auto pool = self->pool_;
-          self->Close();  // first, so that the pool's response is dropped
+          self->CloseAfterReadError(input.error);  // first, so that the pool's response is dropped
           pool->ClientDisconnected(self->request_id_);
         });
   }
@@ -320,7 +343,7 @@
 
   void OnResponseWritten(error_code ec) {
     response_ = {};
-    if (ec) return Close();
+    if (ec) return Close(ConnectionEnd::kWriteFailed, ec);
     if (!keep_alive_) return LingerAndClose();
     ++responses_sent_;
     EnterPhase(Phase::kReading);
@@ -333,7 +356,7 @@
     } else {
       ReadHeader();
     }
-    if (server_.on_drained_ && IsIdle()) return Close();
+    if (server_.on_drained_ && IsIdle()) return Close(ConnectionEnd::kDrained);
     while (server_.ShouldEvictIdle() && server_.EvictConnection(/*idle_only=*/true)) {
     }
   }
@@ -347,7 +370,7 @@
     buffer_ = boost::beast::flat_buffer();
     error_code ec;
     socket_.shutdown(tcp::socket::shutdown_send, ec);
-    if (ec) return Close();
+    if (ec) return Close(ConnectionEnd::kResponded, ec);
     DiscardInput(0);
   }
 
@@ -357,7 +380,9 @@
       char sink[16384];
       const std::size_t bytes_read = ec ? 0 : self->socket_.read_some(asio::buffer(sink), ec);
       const bool is_finished = bytes_read == 0 && ec != asio::error::would_block;
-      if (is_finished || discarded + bytes_read > kMaxDiscardedBytes) return self->Close();
+      if (is_finished || discarded + bytes_read > kMaxDiscardedBytes) {
+        return self->Close(ConnectionEnd::kResponded);
+      }
       self->DiscardInput(discarded + bytes_read);
     });
   }
@@ -448,6 +473,7 @@
       if (!IsFull() || EvictConnection()) Accept(listener);
       return;
     }
+    connection_recorder_.RecordAcceptFailure(ErrorName(ec));
     if (ec == asio::error::no_descriptors) EvictConnection();
     listener->retry_timer.expires_after(ToDuration(kAcceptRetryDelayMs));  // avoids a busy loop
     listener->retry_timer.async_wait([this, listener](error_code wait_ec) {
@@ -459,6 +485,7 @@
 void HttpServer::StartSession(const Listener& listener, tcp::socket socket) {
   const auto session = std::make_shared<Session>(*this, listener.id, std::move(socket));
   sessions_.insert(session);
+  connection_recorder_.RecordAccept();
   session->Start();
 }
 
@@ -497,7 +524,7 @@
     candidate = session;
     candidate_rank = rank;
   }
-  if (candidate) candidate->Close();
+  if (candidate) candidate->Close(ConnectionEnd::kEvicted);
   return candidate != nullptr;
 }
 
@@ -511,12 +538,32 @@
 void HttpServer::CheckTimeouts() {
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all) session->CheckTimeouts(Now());
+  LogConnections();
   timeout_timer_.expires_after(ToDuration(kTimeoutCheckIntervalMs));
   timeout_timer_.async_wait([this](error_code ec) {
     if (!ec) CheckTimeouts();
   });
 }
 
+void HttpServer::LogConnections() {
+  if (!handlers_.write_log) return;
+  if (const auto line = connection_recorder_.TakeLogLine(Now(), sessions_.size())) handlers_.write_log(*line);
+}
+
+void HttpServer::LogLostRequest(const std::string& request_id, ConnectionEnd end, const error_code& error,
+                                Millis elapsed) {
+  if (!handlers_.write_log) return;
+  const auto suppressed = lost_request_log_throttle_.Admit(Now());
+  if (!suppressed) return;
+  std::ostringstream line;
+  line << "connection closed before the response: request=" << request_id
+       << " reason=" << ledger::ConnectionEndName(end);
+  if (error) line << " error=" << ErrorName(error);
+  line << " after_ms=" << elapsed;
+  if (*suppressed > 0) line << " suppressed=" << *suppressed;
+  handlers_.write_log(line.str());
+}
+
 void HttpServer::CloseListener(Listener& listener) {
   // Clients in the accept queue are connected already and may have sent a request, which closing would lose.
   for (error_code ec; !IsFull();) {
@@ -546,7 +593,7 @@
   on_drained_ = std::move(done);
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all) {
-    if (session->IsIdle()) session->Close();
+    if (session->IsIdle()) session->Close(ConnectionEnd::kDrained);
   }
   if (on_drained_ && sessions_.empty()) asio::post(io_, std::exchange(on_drained_, nullptr));
 }
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -15,6 +16,8 @@
 
 #include "base/http_types.hpp"
 #include "gateway/client_request.hpp"
+#include "ledger/connections.hpp"
+#include "limits/log_throttle.hpp"
 #include "opalswitch/policy.hpp"
 #include "routing/target.hpp"
 
@@ -62,6 +65,8 @@
         admit;
     // Whether the gateway's own refusals and failures give their cause to clients. Null means yes.
     std::function<bool()> reports_cause = nullptr;
+    // Receives lines about connections that end abnormally. May be null.
+    std::function<void(const std::string& line)> write_log = nullptr;
   };
 
   // GET of `health_path` returns 200 if the gateway is ready, else 503. Empty: no health checks.
@@ -107,6 +112,11 @@
   bool ReserveBody(std::uint64_t bytes, std::size_t& reserved);
   // Closes or answers connections whose time-outs have passed, and schedules the next check.
   void CheckTimeouts();
+  // Writes the line "connections ..." if it is due.
+  void LogConnections();
+  // Writes a line about one request whose client gets no whole response.
+  void LogLostRequest(const std::string& request_id, ledger::ConnectionEnd end,
+                      const boost::system::error_code& error, Millis elapsed);
 
   boost::asio::io_context& io_;
   std::vector<std::shared_ptr<Listener>> listeners_;
@@ -118,6 +128,8 @@
   boost::asio::steady_timer timeout_timer_;
   bool is_draining_ = false;
   std::function<void()> on_drained_;
+  ledger::ConnectionRecorder connection_recorder_;
+  limits::LogThrottle lost_request_log_throttle_;
 };
 
 }  // namespace opalswitch::gateway
--- a/src/ledger/losses.cpp
+++ b/src/ledger/losses.cpp
@@ -20,6 +20,17 @@
   return "unknown";
 }
 
+const char* OutcomeName(RequestOutcome outcome) {
+  switch (outcome) {
+    case RequestOutcome::kInTime: return "in_time";
+    case RequestOutcome::kLate: return "late";
+    case RequestOutcome::kRefused: return "refused";
+    case RequestOutcome::kFailed: return "failed";
+    case RequestOutcome::kGone: return "gone";
+  }
+  return "unknown";
+}
+
 LossRecorder::LossRecorder(const std::vector<ClassSettings>& classes) {
   for (const ClassSettings& c : classes) {
     class_names_.push_back(c.name);
@@ -54,6 +65,11 @@
   found->second.wasted += spent;
 }
 
+void LossRecorder::RecordRetry(const std::string& class_name) {
+  const auto found = counts_by_class_.find(class_name);
+  if (found != counts_by_class_.end()) ++found->second.causes["retried"];
+}
+
 std::vector<std::string> LossRecorder::TakeLogLines(Millis now) {
   if (now < lines_taken_at_ + kLogIntervalMs) return {};
   lines_taken_at_ = now;
--- a/src/ledger/losses.hpp
+++ b/src/ledger/losses.hpp
@@ -32,6 +32,8 @@
   // Records an attempt that ended without a served response. `spent` (ms) is the upper bound of the server
   // time that it took.
   void RecordWastedAttempt(const std::string& class_name, Result result, Millis spent);
+  // Records an attempt after a request's first one.
+  void RecordRetry(const std::string& class_name);
 
   // Returns and resets the counts since the last lines, one line a class, if kLogIntervalMs has passed and
   // something was lost; otherwise nothing:
@@ -46,7 +48,7 @@
     double worth = 0;
     std::uint64_t ended = 0, in_time = 0, late = 0, gone = 0;
     Millis waited = 0, wasted = 0;
-    std::map<std::string, std::uint64_t> causes;  // by key, such as "refused.rate"; a closed set
+    std::map<std::string, std::uint64_t> causes;  // by key, such as "refused.rate" or "retried"; a closed set
   };
 
   // Configured classes only: clients choose the names, so counting others would use unbounded memory.
@@ -56,6 +58,8 @@
   bool has_losses_ = false;
 };
 
+// Returns the name of an outcome as used in log lines.
+const char* OutcomeName(RequestOutcome outcome);
 // Returns the name of a result as used in log lines.
 const char* ResultName(Result result);
 
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -1,13 +1,10 @@
 #include "upstream/host_pool.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <cerrno>
 #include <iterator>
 #include <optional>
 #include <sstream>
@@ -16,6 +13,7 @@
 #include <utility>
 
 #include "base/clock.hpp"
+#include "base/socket_input.hpp"
 
 namespace opalswitch::gateway {
 namespace {
@@ -125,12 +123,16 @@
     StartWrite();
   }
 
-  // Whether the host has neither closed the connection nor sent unsolicited bytes.
-  bool IsReusable() { return is_open_ && buffer_.size() == 0 && PeekInput() == Input::kNone; }
+  // Whether the host has neither closed the connection nor sent unsolicited bytes. Looks at the socket
+  // itself, because a pending wait may not have been notified yet.
+  bool IsReusable() {
+    return is_open_ && buffer_.size() == 0 && PeekInput(socket_).state == SocketInput::State::kNone;
+  }
 
   // Closes an idle connection on which input or its end has been noticed.
   void CloseAfterInput() {
-    if (PeekInput() == Input::kBytes) pool_.OnUnsolicitedBytes(host_, Now() - idle_since_);
+    if (PeekInput(socket_).state == SocketInput::State::kBytes)
+      pool_.OnUnsolicitedBytes(host_, Now() - idle_since_);
     Close();
   }
   Millis idle_since() const { return idle_since_; }
@@ -151,16 +153,6 @@
   }
 
  private:
-  enum class Input { kNone, kBytes, kEnd };
-
-  // Looks at the socket itself, because a pending wait may not have been notified yet.
-  Input PeekInput() {
-    char byte = 0;
-    const ssize_t bytes_read = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (bytes_read > 0) return Input::kBytes;
-    return bytes_read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Input::kNone : Input::kEnd;
-  }
-
   void Assign(Exchange exchange) {
     exchange_ = std::move(exchange);
     write_buffer_.clear();
--- a/tests/losses_test.cpp
+++ b/tests/losses_test.cpp
@@ -42,6 +42,18 @@
       << "requests served before are included";
 }
 
+// Guards against retries that the lines do not show.
+TEST(LossRecorder, LogsRetriesByClass) {
+  ledger::LossRecorder losses({MakeClass("view")});
+  losses.RecordWastedAttempt("view", Result::kReset, 30);
+  losses.RecordRetry("view");
+  losses.RecordRequest("view", RequestOutcome::kInTime, "", 50);
+  const auto lines = losses.TakeLogLines(2000);
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0],
+            "losses class=view at=2.0 worth=1 ended=1 in_time=1 retried=1 wasted.reset=1 wasted_ms=30");
+}
+
 // Guards against class names chosen by clients: counting them would use unbounded memory.
 TEST(LossRecorder, IgnoresUnknownClasses) {
   ledger::LossRecorder losses({MakeClass("view")});
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -2,25 +2,15 @@
 #include "process.hpp"
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
-#include <cstdio>
 #include <fstream>
 
+#include "gateway_process.hpp"
 #include "peers.hpp"
 
 namespace opalswitch::testing {
 namespace {
 
-struct TempFile {
-  explicit TempFile(const std::string& text)
-      : path(::testing::TempDir() + "forkwick-process-" + std::to_string(getpid()) + ".json") {
-    std::ofstream(path) << text;
-  }
-  ~TempFile() { std::remove(path.c_str()); }
-  const std::string path;
-};
-
 // Guards against a gateway that starts with an invalid configuration, or fails without naming the variable or
 // field in one line.
 TEST(Program, InvalidConfigurationIsNamedInOneLineAndExitsWith1) {
@@ -60,27 +50,17 @@
 // must be answered, and the exit code must be 0.
 TEST(Program, SigtermCompletesRequestsInFlightAndExitsWith0) {
   asio::io_context io;
-  Peer host(io), discovery(io);
-  tcp::endpoint listen;
-  {  // finds a free port
-    tcp::acceptor probe(io, Loopback());
-    listen = probe.local_endpoint();
-  }
-  const nlohmann::json config = {
-      {"seed", "1f"}, {"known", List(1, true, {Member("h0", host.address())})}, {"settings", TestSettings()}};
-  const TempFile file(config.dump());
-  Process process({{"NODE_CONFIG", file.path},
-                   {"NODE_LISTEN", ToText(listen)},
-                   {"NODE_DISCOVERY", ToText(discovery.address())}});
-  ASSERT_TRUE(RunUntil(io, [&] { return discovery.requests.size() == 1; }));  // it is listening by then
-  Client client(io, listen);
+  Peer host(io);
+  GatewayProcess gateway(io, {host.address()}, TestSettings());  // it is listening by now
+  Process& process = gateway.process();
+  Client client(io, gateway.address());
   client.Send(ApiRequest("r1", "pay"));
   ASSERT_TRUE(RunUntil(io, [&] { return host.requests.size() == 1; }));
   process.Terminate();
   // The host answers only after the gateway has started to stop.
   bool stopping = false;
   for (int i = 0; i < 1000 && !stopping; ++i) {
-    Client probe(io, listen);
+    Client probe(io, gateway.address());
     probe.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
     stopping = probe.Await().result() == http::status::service_unavailable;
   }
