--- /dev/null
+++ b/tests/client_disconnect_test.cpp
@@ -0,0 +1,89 @@
+// Which clients count as disconnected while their request is in progress, over loopback sockets. The clients
+// here write at chosen moments between the handlers of the gateway's event loop.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "gateway_harness.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+// A client on an event loop of its own, so that the gateway's loop has only the gateway's handlers.
+class SteppedClient {
+ public:
+  explicit SteppedClient(const tcp::endpoint& address) : socket_(io_) {
+    socket_.connect(address);
+    socket_.set_option(tcp::no_delay(true));
+    socket_.non_blocking(true);
+  }
+
+  void Send(const std::string& text) { asio::write(socket_, asio::buffer(text)); }
+  void Disconnect() { socket_.close(); }
+  // Whether all of `text` has been received.
+  bool HasReceived(const std::string& text) {
+    Receive();
+    return received_.find(text) != std::string::npos;
+  }
+  bool ended() {
+    Receive();
+    return ended_;
+  }
+
+ private:
+  void Receive() {
+    error_code ec;
+    char bytes[4096];
+    while (!ec && !ended_) {
+      const std::size_t size = socket_.read_some(asio::buffer(bytes), ec);
+      received_.append(bytes, size);
+    }
+    ended_ = ended_ || ec != asio::error::would_block;
+  }
+
+  asio::io_context io_;
+  tcp::socket socket_;
+  std::string received_;
+  bool ended_ = false;
+};
+
+// Answers each request with "response to ID" after `delay`.
+void AnswerAfter(asio::io_context& io, Peer& host, std::chrono::milliseconds delay) {
+  host.serve = [&io, delay](const Peer::ReceivedRequest& request) {
+    const auto timer = std::make_shared<asio::steady_timer>(io, delay);
+    timer->async_wait([request, timer](error_code) {
+      request.Answer(200, "response to " + std::string(request.http["Req-Id"]));
+    });
+  };
+}
+
+// Guards clients whose request arrives in pieces against being taken for disconnected: the second piece may
+// be read together with the first, before the event loop handles the wake-up that it caused.
+TEST(ClientDisconnect, AWakeupWithoutInputDoesNotEndARequestInProgress) {
+  constexpr int kMaxSteps = 8;  // handlers that run between the pieces
+  for (const std::string class_name : {"view", "pay"}) {
+    const std::string first = ApiRequest("first", class_name), second = ApiRequest("second", class_name);
+    for (const std::size_t split : {std::size_t{1}, second.size() / 2, second.size() - 1}) {
+      for (int steps = 0; steps <= kMaxSteps; ++steps) {
+        SCOPED_TRACE(class_name + ", " + std::to_string(split) + " bytes, then " + std::to_string(steps) +
+                     " handlers");
+        GatewayHarness harness;
+        AnswerAfter(harness.io, harness.host(), std::chrono::milliseconds(1));
+        SteppedClient client(harness.gateway->address());
+        client.Send(first);
+        ASSERT_TRUE(harness.Until([&] { return client.HasReceived("response to first"); }));
+        client.Send(second.substr(0, split));
+        for (int step = 0; step < steps; ++step) harness.io.poll_one();
+        client.Send(second.substr(split));
+        ASSERT_TRUE(
+            harness.Until([&] { return client.HasReceived("response to second") || client.ended(); }));
+        EXPECT_TRUE(client.HasReceived("response to second")) << "closed without a response";
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -149,6 +149,7 @@
  public:
   Client(asio::io_context& io, const tcp::endpoint& address) : io_(io), state_(std::make_shared<State>(io)) {
     state_->socket.connect(address);
+    state_->socket.set_option(tcp::no_delay(true));  // each Send is on the way at once
     Read(state_);
   }
   ~Client() { Disconnect(); }
