A wake-up without input no longer counts as a client's disconnect

Cause: while a request is in progress the front end waits for readability, and took the end of that wait with nothing to read for the client's disconnect. A wake-up belongs to the descriptor, not to the wait: on a kept connection two waits are pending (the last request's watch and the read of the next), so the read is handled one turn of the event loop later. A second piece of the request that arrives in that turn is reported by epoll, read together with the first, and its wake-up ends the watch that was begun meanwhile. Change: only a peek that returns the end of the stream or an error is a disconnect; after a wake-up without input the wait is begun again, which registers with epoll anew, so no event is missed.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -266,21 +266,36 @@
   // Waits for the client to disconnect or to send more while its request is in progress. Nothing is read:
   // further input stays in the socket and uses no memory here.
   void WatchForDisconnect() {
-    socket_.async_wait(
-        tcp::socket::wait_read, [self = shared_from_this(), request_number = request_number_](error_code ec) {
-          if (self->phase_ != Phase::kAwaitingResponse || self->request_number_ != request_number) return;
-          if (!ec && self->socket_.available(ec) > 0 && !ec) {
-            self->next_request_received_at_ = Now();
-            return;
-          }
-          const SocketInput input = PeekInput(self->socket_);
-          if (input.state == SocketInput::State::kNone) {
-            self->server_.connection_recorder_.RecordWakeupWithoutInput();
-          }
-          const auto pool = self->pool_;
-          self->CloseAfterReadError(input.error);  // first, so that the pool's response is dropped
-          pool->ClientDisconnected(self->request_id_);
-        });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this(), request_number = request_number_](error_code) {
+                         if (self->IsInProgress(request_number)) self->OnReadable();
+                       });
+  }
+
+  bool IsInProgress(std::uint64_t request_number) const {
+    return phase_ == Phase::kAwaitingResponse && request_number_ == request_number;
+  }
+
+  // The end of a wait proves nothing: the input that ended it may have been read together with the request.
+  void OnReadable() {
+    const SocketInput input = PeekInput(socket_);
+    switch (input.state) {
+      case SocketInput::State::kNone:
+        server_.connection_recorder_.RecordWakeupWithoutInput();
+        return WatchForDisconnect();
+      case SocketInput::State::kBytes:
+        next_request_received_at_ = Now();
+        return;
+      case SocketInput::State::kEnd:
+      case SocketInput::State::kError: return OnClientDisconnected(input.error);
+    }
+  }
+
+  void OnClientDisconnected(const error_code& error) {
+    const auto pool = pool_;
+    const std::string id = request_id_;
+    CloseAfterReadError(error);  // first, so that the pool's response is dropped
+    pool->ClientDisconnected(id);
   }
 
   // For a request that is invalid or not read to its end: the start of the next one is unknown, so the
