Responses, requests and discovery's calls are written on after a short write

What callers saw: a response of which a part came, then nothing, and after 3 s the end of the connection. A watch of discovery stood still in the same way until its timeout. Cause: asio's composed write waits for an edge of writability after a short write; where the socket's buffer still has room no edge comes, as the descriptor is registered for it already. The gateway relied on an event where the state was to be asked. Change: base/socket_writer writes until the kernel takes no more, then waits with a new registration; the front end, HostPool and Discovery use it, HostPool in place of a loop of its own.

--- a/src/base/socket_error.hpp
+++ b/src/base/socket_error.hpp
@@ -8,8 +8,8 @@
 
 namespace opalswitch::gateway {
 
-// Whether a system call on a socket has failed without an effect on the connection, so that it can be repeated:
-// it would have blocked, was interrupted by a signal, or the kernel had no memory for it.
+// Whether a system call on a socket has failed without an effect on the connection, so that it can be
+// repeated: it would have blocked, was interrupted by a signal, or the kernel had no memory for it.
 bool IsTransient(const boost::system::error_code& error);
 
 // Returns one word for an error, as used in log lines: "ECONNRESET", "EOF".
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
@@ -16,6 +17,7 @@
 #include "base/clock.hpp"
 #include "base/socket_error.hpp"
 #include "base/socket_input.hpp"
+#include "base/socket_writer.hpp"
 #include "gateway/pool.hpp"
 #include "http/message_rules.hpp"
 
@@ -281,9 +283,7 @@
       case SocketInput::State::kNone:
         server_.connection_recorder_.RecordWakeupWithoutInput();
         return WatchForDisconnect();
-      case SocketInput::State::kBytes:
-        next_request_received_at_ = Now();
-        return;
+      case SocketInput::State::kBytes: next_request_received_at_ = Now(); return;
       case SocketInput::State::kEnd:
       case SocketInput::State::kError: return OnClientDisconnected(input.error);
     }
@@ -320,22 +320,22 @@
     EnterPhase(Phase::kWriting);
     ReleaseReservations();
     pool_.reset();
-    response_ = std::move(response);
-    last_response_is_error_ = response_.result_int() == 429 || response_.result_int() >= 500;
+    last_response_is_error_ = response.result_int() == 429 || response.result_int() >= 500;
     if (last_response_is_error_ && server_.handlers_.reports_cause && !server_.handlers_.reports_cause()) {
-      response_.erase(kCauseHeader);
+      response.erase(kCauseHeader);
     }
-    const bool allows_keep_alive = response_.keep_alive();
-    response_.version(http_version_);
+    const bool allows_keep_alive = response.keep_alive();
+    response.version(http_version_);
     // During a drain, or with clients waiting to connect, the connection is closed after this response,
     // unless input that may be another request has arrived.
     error_code ec;
     const bool has_unread_input = buffer_.size() > 0 || socket_.available(ec) > 0;
     keep_alive_ = keep_alive_ && allows_keep_alive &&
                   (has_unread_input || !(server_.is_draining_ || server_.HasWaitingClients()));
-    response_.keep_alive(keep_alive_);
-    PrepareBody();
-    http::async_write(socket_, response_, [self = shared_from_this()](error_code write_ec, std::size_t) {
+    response.keep_alive(keep_alive_);
+    PrepareBody(response);
+    const auto writer = std::make_shared<SocketWriter>(ToText(response));
+    WriteAll(socket_, writer, [self = shared_from_this()](error_code write_ec) {
       if (self->phase_ == Phase::kWriting) self->OnResponseWritten(write_ec);
     });
   }
@@ -343,19 +343,33 @@
   // Sets Content-Length and removes the body where there must be none. RFC 9110 sections 8.6 and 9.3.2:
   // responses to HEAD and responses 204 and 304 have no body. All of these but 204 may give the length that a
   // response to GET would have.
-  void PrepareBody() {
-    const http::status status = response_.result();
+  void PrepareBody(HttpResponse& response) {
+    const http::status status = response.result();
     if (!std::exchange(is_head_request_, false) && status != http::status::no_content &&
         status != http::status::not_modified) {
-      return response_.prepare_payload();
+      return response.prepare_payload();
     }
-    response_.body().clear();
-    response_.erase(http::field::transfer_encoding);
-    if (status == http::status::no_content) response_.erase(http::field::content_length);
+    response.body().clear();
+    response.erase(http::field::transfer_encoding);
+    if (status == http::status::no_content) response.erase(http::field::content_length);
+  }
+
+  static std::string ToText(HttpResponse& response) {
+    http::response_serializer<http::string_body> serializer(response);
+    std::string text;
+    error_code ec;
+    while (!serializer.is_done() && !ec) {
+      serializer.next(ec, [&](error_code&, const auto& buffers) {
+        for (const asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers)) {
+          text.append(static_cast<const char*>(buffer.data()), buffer.size());
+        }
+        serializer.consume(boost::beast::buffer_bytes(buffers));
+      });
+    }
+    return text;
   }
 
   void OnResponseWritten(error_code ec) {
-    response_ = {};
     if (ec) return Close(ConnectionEnd::kWriteFailed, ec);
     if (!keep_alive_) return LingerAndClose();
     ++responses_sent_;
@@ -411,7 +425,6 @@
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kMaxReadBufferBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
-  HttpResponse response_;
   RequestOrigin origin_;
   routing::Target target_;                // of the current request
   std::optional<ClientRequest> request_;  // the current request, from its header until Submit()
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -4,10 +4,12 @@
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <sstream>
 #include <string>
 #include <utility>
 
 #include "base/clock.hpp"
+#include "base/socket_writer.hpp"
 
 namespace opalswitch::gateway {
 namespace {
@@ -91,13 +93,17 @@
   call->request.target(schedule_.BeginCall(Uniform()));
   SetTimeout(call, schedule_.ResponseTimeout(), WatchFailure::kTimeout);
   call->request.set(http::field::host, address_.address().to_string());
-  http::async_write(
-      *socket_, call->request,
-      [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec, std::size_t) {
-        if (alive.expired() || call != call_) return;
-        if (ec) return HandleFailure(call, WatchFailure::kClosed, ec.message());
-        ReadResponse(call);
-      });
+  error_code ec;
+  socket_->non_blocking(true, ec);
+  if (ec) return HandleFailure(call, WatchFailure::kClosed, ec.message());
+  std::ostringstream text;
+  text << call->request;
+  WriteAll(*socket_, std::make_shared<SocketWriter>(text.str()),
+           [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code write_ec) {
+             if (alive.expired() || call != call_) return;
+             if (write_ec) return HandleFailure(call, WatchFailure::kClosed, write_ec.message());
+             ReadResponse(call);
+           });
 }
 
 // A watch may wait for its response header for a long time; the body must follow within a short one.
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -13,8 +13,8 @@
 #include <utility>
 
 #include "base/clock.hpp"
-#include "base/socket_error.hpp"
 #include "base/socket_input.hpp"
+#include "base/socket_writer.hpp"
 
 namespace opalswitch::gateway {
 namespace {
@@ -156,8 +156,7 @@
  private:
   void Assign(Exchange exchange) {
     exchange_ = std::move(exchange);
-    write_buffer_.clear();
-    bytes_written_ = 0;
+    writer_ = {};
     interim_responses_ = 0;
     ++generation_;  // invalidates the pending wait of the idle connection
     pool_.in_flight_[exchange_->attempt] = shared_from_this();
@@ -178,15 +177,13 @@
     });
   }
 
-  bool IsRequestWritten() const { return !write_buffer_.empty() && bytes_written_ == write_buffer_.size(); }
-
   void OnTimeout() {
     if (Now() < timer_deadline_ - 1) return;  // the timer was reset after this wait had expired
     if (!exchange_) {
       pool_.RemoveIdle(host_, this);
       return Close();
     }
-    Fail(IsRequestWritten() ? Result::kTimedOut : Result::kConnectFailed);
+    Fail(writer_.IsDone() ? Result::kTimedOut : Result::kConnectFailed);
   }
 
   void OnConnected(error_code ec) {
@@ -198,7 +195,8 @@
   }
 
   void StartWrite() {
-    write_buffer_ = Serialize(*exchange_->request, static_cast<std::int64_t>(exchange_->deadline - Now()));
+    writer_ =
+        SocketWriter(Serialize(*exchange_->request, static_cast<std::int64_t>(exchange_->deadline - Now())));
     method_ = exchange_->request->method();
     exchange_->request.reset();
     error_code ec;
@@ -207,16 +205,10 @@
     ContinueWrite();
   }
 
-  // Uses non-blocking writes so that bytes_written_ is exact at any time: an asynchronous write reports
-  // completion later, and a timeout in between would count a request that the host has received as never
-  // sent.
+  // A timeout at any moment must know whether the host can have received the request.
   void ContinueWrite() {
-    error_code ec;
-    while (bytes_written_ < write_buffer_.size() && !ec) {
-      bytes_written_ += socket_.write_some(asio::buffer(write_buffer_) + bytes_written_, ec);
-    }
-    if (ec && !IsTransient(ec)) return Fail(Result::kConnectFailed);  // the request was not sent completely
-    if (IsRequestWritten()) return ReadHeader();
+    if (!writer_.Write(socket_)) return Fail(Result::kConnectFailed);  // the request was not sent completely
+    if (writer_.IsDone()) return ReadHeader();
     socket_.async_wait(tcp::socket::wait_write,
                        [self = shared_from_this(), generation = generation_](error_code) {
                          if (self->is_open_ && self->generation_ == generation) self->ContinueWrite();
@@ -277,7 +269,7 @@
   // Makes the connection available for the next request.
   void ReturnToPool() {
     parser_.reset();
-    write_buffer_ = {};
+    writer_ = {};
     if (buffer_.capacity() > 4096) buffer_.shrink_to_fit();
     idle_since_ = Now();
     SetTimer(idle_since_ + pool_.limits_.idle_timeout * kIdleTimeoutFraction);
@@ -299,8 +291,7 @@
   Millis idle_since_ = 0;
   boost::beast::flat_buffer buffer_{kMaxReadBufferBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
-  std::string write_buffer_;
-  std::size_t bytes_written_ = 0;  // bytes of write_buffer_ that the kernel has accepted
+  SocketWriter writer_;  // of the current request
   int interim_responses_ = 0;
   http::verb method_ = http::verb::unknown;  // of the current request
   std::uint64_t generation_ = 0;             // incremented to invalidate pending waits
