A failed accept neither delays nor drops the connections behind it

What callers saw: new connections not served for seconds, or at all, after accept() had failed once; a connection ended while its request arrived; connections dropped at a stop or a reload while they waited for accept(). Cause, four places with one mistake, a failure taken for a state: asio hides ECONNABORTED and EPROTO and waits for the next edge, which may not come (and blocks the whole loop in a synchronous accept); any error ended the emptying of the queue when a listener was closed, as did the limit on connections; EMFILE closed another client's connection at once, also where the next accept worked. Change: such errors are reported by asio and retried at once, those for want of descriptors or memory three times at once and then after 1 to 50 ms; a client is evicted for EMFILE only after it has persisted through these delays; a listener is closed when its queue is empty, or 200 ms later.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -35,7 +35,10 @@
 constexpr std::size_t kMaxIdleBufferBytes = 4096;       // kept by a connection between requests
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;  // read and dropped from a client while lingering
 constexpr Millis kNoMemoryRetryAfterMs = 1000;          // Retry-After if the memory for bodies is used up
-constexpr Millis kAcceptRetryDelayMs = 50;  // after a failed accept, for example without descriptors
+constexpr Millis kMaxCloseListenerMs = 200;             // for emptying its queue
+constexpr int kImmediateAcceptRetries = 3;              // after failed accepts in a row
+constexpr Millis kFirstAcceptRetryDelayMs = 1;
+constexpr Millis kMaxAcceptRetryDelayMs = 50;  // while accepts go on failing, for example without descriptors
 
 }  // namespace
 
@@ -449,11 +452,29 @@
 struct HttpServer::Listener {
   Listener(asio::io_context& io, std::string name, const tcp::endpoint& address)
       : id(std::move(name)), requested_address(address), acceptor(io), retry_timer(io) {}
+  // Handlers that are still pending do nothing from then on.
+  void Close() {
+    error_code ignored;
+    acceptor.close(ignored);
+    retry_timer.cancel();
+  }
+
   std::string id;
   const tcp::endpoint requested_address;  // port 0 if any would do
   tcp::acceptor acceptor;
   asio::steady_timer retry_timer;
   bool is_accepting = false;
+  bool is_closing = false;
+  // Accepts that have failed in a row for want of descriptors or memory.
+  int failures = 0;
+
+  // Records such a failure. Returns whether to try again at once.
+  bool RecordFailure() { return ++failures <= kImmediateAcceptRetries; }
+  // Returns the delay before the next try, which doubles from failure to failure.
+  Millis RetryDelay() const {
+    const int doublings = std::max(0, failures - kImmediateAcceptRetries - 1);
+    return std::min(kMaxAcceptRetryDelayMs, std::ldexp(kFirstAcceptRetryDelayMs, doublings));
+  }
 };
 
 HttpServer::HttpServer(asio::io_context& io, const HttpServerLimits& limits, Handlers handlers,
@@ -466,12 +487,19 @@
   CheckTimeouts();
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer() {
+  for (const auto* const list : {&listeners_, &removed_listeners_}) {
+    for (const auto& listener : *list) listener->Close();
+  }
+}
 
 tcp::endpoint HttpServer::Listen(const std::string& id, const tcp::endpoint& address) {
   const auto listener = std::make_shared<Listener>(io_, id, address);
   listener->acceptor.open(address.protocol());
   listener->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  // Without this, a failure of one connection leaves those behind it in the queue until a further one
+  // arrives.
+  listener->acceptor.set_option(asio::socket_base::enable_connection_aborted(true));
   listener->acceptor.non_blocking(true);
   listener->acceptor.bind(address);
   listener->acceptor.listen();
@@ -494,14 +522,18 @@
     if (!listener->acceptor.is_open()) return;  // closed, maybe because this server was destroyed
     listener->is_accepting = false;
     if (!ec) {
+      listener->failures = 0;
       StartSession(*listener, std::move(socket));
       // If no connection can be evicted, further clients wait in the kernel's accept queue.
       if (!IsFull() || EvictConnection()) Accept(listener);
       return;
     }
     connection_recorder_.RecordAcceptFailure(ErrorName(ec));
-    if (ec == asio::error::no_descriptors) EvictConnection();
-    listener->retry_timer.expires_after(ToDuration(kAcceptRetryDelayMs));  // avoids a busy loop
+    if (IsErrorOfOneConnection(ec) || listener->RecordFailure()) return Accept(listener);
+    const Millis delay = listener->RetryDelay();
+    // A failure that passes must cost no client its connection.
+    if (ec == asio::error::no_descriptors && delay == kMaxAcceptRetryDelayMs) EvictConnection();
+    listener->retry_timer.expires_after(ToDuration(delay));
     listener->retry_timer.async_wait([this, listener](error_code wait_ec) {
       if (!wait_ec && listener->acceptor.is_open()) Accept(listener);
     });
@@ -517,7 +549,7 @@
 
 void HttpServer::OnSessionClosed(const std::shared_ptr<Session>& session) {
   sessions_.erase(session);
-  if (on_drained_ && sessions_.empty()) asio::post(io_, std::exchange(on_drained_, nullptr));
+  CheckDrained();
   if (IsFull()) return;
   for (const auto& listener : listeners_) Accept(listener);
 }
@@ -590,28 +622,63 @@
   handlers_.write_log(line.str());
 }
 
-void HttpServer::CloseListener(Listener& listener) {
-  // Clients in the accept queue are connected already and may have sent a request, which closing would lose.
-  for (error_code ec; !IsFull();) {
+bool HttpServer::AcceptQueued(Listener& listener) {
+  while (!IsFull()) {
+    error_code ec;
     tcp::socket socket = listener.acceptor.accept(ec);
-    if (ec) break;
-    StartSession(listener, std::move(socket));
+    if (!ec) {
+      listener.failures = 0;
+      StartSession(listener, std::move(socket));
+      continue;
+    }
+    if (ec == asio::error::would_block) return true;
+    connection_recorder_.RecordAcceptFailure(ErrorName(ec));
+    if (!IsErrorOfOneConnection(ec) && !listener.RecordFailure()) return false;
+  }
+  return false;
+}
+
+// Clients in the accept queue are connected already and may have sent a request, which closing would lose.
+void HttpServer::CloseListener(const std::shared_ptr<Listener>& listener, Millis deadline) {
+  listener->is_closing = true;
+  if (AcceptQueued(*listener) || Now() >= deadline) {
+    listener->Close();
+    return CheckDrained();
+  }
+  listener->retry_timer.expires_after(ToDuration(listener->RetryDelay()));
+  listener->retry_timer.async_wait([this, listener, deadline](error_code ec) {
+    if (!ec && listener->acceptor.is_open()) CloseListener(listener, deadline);
+  });
+}
+
+bool HttpServer::IsClosingListeners() const {
+  const auto is_closing = [](const auto& listener) {
+    return listener->is_closing && listener->acceptor.is_open();
+  };
+  return std::any_of(listeners_.begin(), listeners_.end(), is_closing) ||
+         std::any_of(removed_listeners_.begin(), removed_listeners_.end(), is_closing);
+}
+
+void HttpServer::CheckDrained() {
+  if (on_drained_ && sessions_.empty() && !IsClosingListeners()) {
+    asio::post(io_, std::exchange(on_drained_, nullptr));
   }
-  error_code ignored;
-  listener.acceptor.close(ignored);
-  listener.retry_timer.cancel();
 }
 
 void HttpServer::Unlisten(const std::string& id, const tcp::endpoint& requested_address) {
+  std::erase_if(removed_listeners_, [](const auto& listener) { return !listener->acceptor.is_open(); });
   std::erase_if(listeners_, [&](const auto& listener) {
     if (listener->id != id || listener->requested_address != requested_address) return false;
-    CloseListener(*listener);
+    removed_listeners_.push_back(listener);
     return true;
   });
+  for (const auto& listener : removed_listeners_) {
+    if (!listener->is_closing) CloseListener(listener, Now() + kMaxCloseListenerMs);
+  }
 }
 
 void HttpServer::StopListening() {
-  for (const auto& listener : listeners_) CloseListener(*listener);
+  for (const auto& listener : listeners_) CloseListener(listener, Now() + kMaxCloseListenerMs);
 }
 
 void HttpServer::Drain(std::function<void()> done) {
@@ -621,7 +688,7 @@
   for (const auto& session : all) {
     if (session->IsIdle()) session->Close(ConnectionEnd::kDrained);
   }
-  if (on_drained_ && sessions_.empty()) asio::post(io_, std::exchange(on_drained_, nullptr));
+  CheckDrained();
 }
 
 }  // namespace opalswitch::gateway
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -77,8 +77,8 @@
   // Opens a listener with the given id and returns its actual address. Throws boost::system::system_error on
   // failure.
   boost::asio::ip::tcp::endpoint Listen(const std::string& id, const boost::asio::ip::tcp::endpoint& address);
-  // Accepts the connections that are already established, up to max_connections, then closes the listener
-  // that was opened with this id and address. Its connections are still served.
+  // Accepts the connections that are already established, as far as there is room for them, then closes the
+  // listener that was opened with this id and address. Its connections are still served.
   void Unlisten(const std::string& id, const boost::asio::ip::tcp::endpoint& requested_address);
   boost::asio::ip::tcp::endpoint address(const std::string& id) const;
   std::size_t connections() const { return sessions_.size(); }
@@ -96,7 +96,14 @@
   struct Listener;
   void Accept(const std::shared_ptr<Listener>& listener);
   void StartSession(const Listener& listener, boost::asio::ip::tcp::socket socket);
-  void CloseListener(Listener& listener);
+  // Accepts the connections that are already established, then closes the listener: at once if none is left
+  // in the kernel's queue, else at `deadline`.
+  void CloseListener(const std::shared_ptr<Listener>& listener, Millis deadline);
+  // Accepts what is in the listener's queue. Returns whether the queue is empty.
+  bool AcceptQueued(Listener& listener);
+  bool IsClosingListeners() const;
+  // Completes the drain if nothing is left to drain.
+  void CheckDrained();
   void OnSessionClosed(const std::shared_ptr<Session>& session);
   bool IsFull() const { return sessions_.size() >= limits_.max_connections; }
   // Whether accepting is paused because the limit on connections is reached, so that clients may be waiting
@@ -120,6 +127,7 @@
 
   boost::asio::io_context& io_;
   std::vector<std::shared_ptr<Listener>> listeners_;
+  std::vector<std::shared_ptr<Listener>> removed_listeners_;  // by Unlisten; closed, or soon
   const HttpServerLimits limits_;
   std::uint64_t reserved_body_bytes_ = 0;
   const Handlers handlers_;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -84,6 +84,30 @@
   }
 }
 
+// Guards a client that has connected and sent its request, and waits in the kernel's queue because all places
+// are taken, against being dropped when the listener is removed.
+TEST(HttpServer, ServesAQueuedConnectionThatGetsAPlaceAfterTheListenerWasRemoved) {
+  for (const bool stops : {false, true}) {
+    SCOPED_TRACE(stops ? "StopListening" : "Unlisten");
+    asio::io_context io;
+    gateway::HttpServerLimits limits;
+    limits.max_connections = 1;
+    limits.idle_timeout = limits.request_timeout = 60000;
+    gateway::HttpServer server(io, limits, {[] { return true; }, AdmitAll}, "/up");
+    const tcp::endpoint at = server.Listen("", Loopback());
+    Client first(io, at);
+    first.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
+    EXPECT_EQ(first.Await().result(), http::status::ok);
+    first.Send("GET /up HTTP");  // a connection with a request that has begun is kept
+    Client queued(io, at);
+    queued.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
+    EXPECT_TRUE(RunUntil(io, [&] { return io.poll_one() == 0; }));  // all events until now are handled
+    stops ? server.StopListening() : server.Unlisten("", Loopback());
+    first.Disconnect();
+    EXPECT_EQ(queued.Await().result(), http::status::ok);
+  }
+}
+
 // Guards against a read that is still pending on a parser that the 408 destroyed: what the client sends after
 // it must be discarded.
 TEST(HttpServer, DiscardsTheRestOfARequestThatWasAnsweredOnTimeout) {
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -2,11 +2,13 @@
 // FORKWICK_TEST_SEED replays a run with other delays.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "gateway_process.hpp"
 #include "peers.hpp"
@@ -111,5 +113,26 @@
   EXPECT_EQ(harness.CountUnanswered(200, 1, kMaxPauseUs), 0) << harness.gateway.process().StandardError();
 }
 
+// Guards clients in the kernel's accept queue against being dropped, and the event loop against standing
+// still, when accepts fail while the listener is closed.
+TEST(ProcessFaults, FailedAcceptsDuringAStopLoseNoConnection) {
+  constexpr int kRounds = 3;
+  constexpr std::size_t kClients = 40;
+  for (int round = 0; round < kRounds; ++round) {
+    FaultHarness harness("accept=700");
+    harness.gateway.process().Terminate();
+    std::vector<std::unique_ptr<Client>> clients;
+    for (std::size_t i = 0; i < kClients; ++i) {
+      clients.push_back(std::make_unique<Client>(harness.io, harness.gateway.address()));
+      clients.back()->Send(ApiRequest("r" + std::to_string(i)));
+    }
+    const auto has_ended = [](const auto& client) { return !client->answers().empty() || client->ended(); };
+    EXPECT_TRUE(RunUntil(harness.io, [&] { return std::all_of(clients.begin(), clients.end(), has_ended); }));
+    const auto is_answered = [](const auto& client) { return !client->answers().empty(); };
+    EXPECT_EQ(std::count_if(clients.begin(), clients.end(), is_answered), kClients)
+        << harness.gateway.process().StandardError();
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
