A wake-up without input no longer closes an idle connection to a host

What hosts saw: new connections in place of idle ones that the gateway had closed for nothing; each costs a host work. Cause: the incident's mistake in HostPool: the end of the idle connection's wait for readability counted as input. Change: the connection is closed only if it has input or its end; else the wait is begun again.

--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -273,13 +273,20 @@
     if (buffer_.capacity() > 4096) buffer_.shrink_to_fit();
     idle_since_ = Now();
     SetTimer(idle_since_ + pool_.limits_.idle_timeout * kIdleTimeoutFraction);
+    ++generation_;
+    WaitWhileIdle();
+    pool_.hosts_.at(host_).idle.push_back(shared_from_this());
+  }
+
+  // Closes the idle connection once it has input or its end.
+  void WaitWhileIdle() {
     socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this(), generation = ++generation_](error_code) {
+                       [self = shared_from_this(), generation = generation_](error_code) {
                          if (!self->is_open_ || self->generation_ != generation) return;
+                         if (self->IsReusable()) return self->WaitWhileIdle();  // woken without input
                          self->pool_.RemoveIdle(self->host_, self.get());
                          self->CloseAfterInput();
                        });
-    pool_.hosts_.at(host_).idle.push_back(shared_from_this());
   }
 
   HostPool& pool_;
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -107,6 +107,16 @@
   EXPECT_EQ(harness.CountUnanswered(300, 20, kMaxPauseUs), 0) << harness.gateway.process().StandardError();
 }
 
+// Guards hosts against new connections, which cost them work, in place of idle ones that were closed for
+// nothing.
+TEST(ProcessFaults, WakeupsWithoutInputCloseNoIdleConnectionToAHost) {
+  FaultHarness harness("wakeup=300");
+  EXPECT_EQ(harness.CountUnanswered(600, kAlwaysTheSameConnection, kMaxPauseUs), 0);
+  const auto& connections = harness.host.connections;
+  EXPECT_EQ(std::count_if(connections.begin(), connections.end(), [](const auto& c) { return c->ended; }), 0)
+      << "of " << connections.size() << " connections";
+}
+
 // Guards clients against waiting for a failed accept: the next connection may come much later.
 TEST(ProcessFaults, FailedAcceptsDelayNoConnection) {
   FaultHarness harness("accept=400");
