A client's disconnect is noticed behind input that stays unread

What hosts saw: attempts, first or further, for clients that had left; each one 0.1 s after the close is a lost request. Cause: the watch for disconnects ended with the first byte behind the current request, and was not begun at all where such bytes had been read together with it. Change: the watch always begins; behind unread input the socket is asked every 25 ms whether the peer has closed (POLLRDHUP).

--- a/src/base/socket_input.cpp
+++ b/src/base/socket_input.cpp
@@ -1,5 +1,6 @@
 #include "base/socket_input.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -20,4 +21,9 @@
   return {IsTransient(error) ? SocketInput::State::kNone : SocketInput::State::kError, error};
 }
 
+bool HasPeerClosed(boost::asio::ip::tcp::socket& socket) {
+  pollfd descriptor{socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 }  // namespace opalswitch::gateway
--- a/src/base/socket_input.hpp
+++ b/src/base/socket_input.hpp
@@ -25,6 +25,10 @@
 // any input, for example when another handler has read the bytes that ended it.
 SocketInput PeekInput(boost::asio::ip::tcp::socket& socket);
 
+// Whether the peer has shut down its sending side or the connection has failed. Unlike PeekInput, sees this
+// also behind unread bytes. Does not block.
+bool HasPeerClosed(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace opalswitch::gateway
 
 #endif  // OPALSWITCH_BASE_SOCKET_INPUT_HPP_
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -31,6 +31,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr Millis kTimeoutCheckIntervalMs = 200;
+constexpr Millis kDisconnectPollMs = 25;                // no attempt may begin 100 ms after a disconnect
 constexpr std::size_t kMaxReadBufferBytes = 24 * 1024;  // holds a whole header; bodies pass through in parts
 constexpr std::size_t kMaxIdleBufferBytes = 4096;       // kept by a connection between requests
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;  // read and dropped from a client while lingering
@@ -255,11 +256,9 @@
     request_id_ = request.id;
     pool_ = request.pool;
     EnterPhase(Phase::kAwaitingResponse);
-    if (buffer_.size() > 0) {
+    if (buffer_.size() > 0)
       next_request_received_at_ = request.received;  // it was read together with this one
-    } else {
-      WatchForDisconnect();
-    }
+    WatchForDisconnect();
     const auto pool = pool_;  // the response may be sent during Submit(), which resets pool_
     ClientRequest submitted = std::move(*request_);
     request_.reset();
@@ -286,12 +285,24 @@
       case SocketInput::State::kNone:
         server_.connection_recorder_.RecordWakeupWithoutInput();
         return WatchForDisconnect();
-      case SocketInput::State::kBytes: next_request_received_at_ = Now(); return;
+      case SocketInput::State::kBytes:
+        if (next_request_received_at_ == 0) next_request_received_at_ = Now();
+        return PollForDisconnect();
       case SocketInput::State::kEnd:
       case SocketInput::State::kError: return OnClientDisconnected(input.error);
     }
   }
 
+  // Notices a disconnect behind input that stays unread, of which a wait for readability does not tell.
+  void PollForDisconnect() {
+    const auto timer = std::make_shared<asio::steady_timer>(server_.io_, ToDuration(kDisconnectPollMs));
+    timer->async_wait([self = shared_from_this(), timer, request_number = request_number_](error_code) {
+      if (!self->IsInProgress(request_number)) return;
+      if (HasPeerClosed(self->socket_)) return self->OnClientDisconnected(asio::error::eof);
+      self->PollForDisconnect();
+    });
+  }
+
   void OnClientDisconnected(const error_code& error) {
     const auto pool = pool_;
     const std::string id = request_id_;
--- a/tests/client_disconnect_test.cpp
+++ b/tests/client_disconnect_test.cpp
@@ -85,5 +85,29 @@
   }
 }
 
+// Guards hosts against attempts for a client that has left behind input that was not read: its disconnect
+// must end the attempt in flight, so that none follows.
+TEST(ClientDisconnect, IsNoticedBehindTheNextRequest) {
+  constexpr std::chrono::milliseconds kMaxDelay(100), kSlack(1900);  // the latter for a busy machine
+  const std::string first = ApiRequest("first", "view", "20000m");
+  const std::string next = ApiRequest("next");
+  for (const bool is_read_together : {true, false}) {
+    for (const std::size_t size : {std::size_t{1}, next.size()}) {
+      SCOPED_TRACE(std::to_string(size) + " bytes, read " + (is_read_together ? "together" : "later"));
+      GatewayHarness harness;
+      SteppedClient client(harness.gateway->address());
+      client.Send(is_read_together ? first + next.substr(0, size) : first);
+      ASSERT_TRUE(harness.Until([&] { return harness.host().requests.size() == 1; }));
+      if (!is_read_together) client.Send(next.substr(0, size));
+      ASSERT_TRUE(harness.Until([&] { return harness.io.poll_one() == 0; }));  // what has arrived is handled
+      const auto left_at = std::chrono::steady_clock::now();
+      client.Disconnect();
+      EXPECT_TRUE(harness.Until([&] { return harness.host().requests[0].connection->ended; }));
+      EXPECT_LT(std::chrono::steady_clock::now() - left_at, kMaxDelay + kSlack);
+      EXPECT_EQ(harness.host().requests.size(), 1u);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
