--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -475,7 +475,7 @@
   tcp::acceptor acceptor;
   asio::steady_timer retry_timer;
   bool is_accepting = false;
-  bool is_closing = false;
+  bool is_closing = false;  // CloseListener takes what is left in the queue
   // Accepts that have failed in a row for want of descriptors or memory.
   int failures = 0;
 
@@ -527,7 +527,7 @@
 }
 
 void HttpServer::Accept(const std::shared_ptr<Listener>& listener) {
-  if (listener->is_accepting || !listener->acceptor.is_open()) return;
+  if (listener->is_accepting || listener->is_closing || !listener->acceptor.is_open()) return;
   listener->is_accepting = true;
   listener->acceptor.async_accept([this, listener](error_code ec, tcp::socket socket) {
     if (!listener->acceptor.is_open()) return;  // closed, maybe because this server was destroyed
@@ -540,6 +540,7 @@
       return;
     }
     connection_recorder_.RecordAcceptFailure(ErrorName(ec));
+    if (listener->is_closing) return;  // the retry timer is CloseListener's
     if (IsErrorOfOneConnection(ec) || listener->RecordFailure()) return Accept(listener);
     const Millis delay = listener->RetryDelay();
     // A failure that passes must cost no client its connection.
--- a/tests/standins/faulty_calls.cpp
+++ b/tests/standins/faulty_calls.cpp
@@ -144,91 +144,91 @@
 extern "C" {
 
 ssize_t recv(int fd, void* buffer, std::size_t size, int flags) {
-  static auto* const replaced = Replaced<ssize_t(int, void*, std::size_t, int)>("recv");
+  static auto* const kReplaced = Replaced<ssize_t(int, void*, std::size_t, int)>("recv");
   if (IsInterrupted()) return -1;
-  return replaced(fd, buffer, TransferLimit(size), flags);
+  return kReplaced(fd, buffer, TransferLimit(size), flags);
 }
 
 ssize_t recvmsg(int fd, msghdr* message, int flags) {
-  static auto* const replaced = Replaced<ssize_t(int, msghdr*, int)>("recvmsg");
+  static auto* const kReplaced = Replaced<ssize_t(int, msghdr*, int)>("recvmsg");
   if (IsInterrupted()) return -1;
   std::vector<iovec> parts;
   msghdr shortened = Shortened(*message, TransferLimit(SizeOf(*message)), parts);
-  return replaced(fd, &shortened, flags);
+  return kReplaced(fd, &shortened, flags);
 }
 
 ssize_t send(int fd, const void* buffer, std::size_t size, int flags) {
-  static auto* const replaced = Replaced<ssize_t(int, const void*, std::size_t, int)>("send");
+  static auto* const kReplaced = Replaced<ssize_t(int, const void*, std::size_t, int)>("send");
   if (IsInterrupted()) return -1;
-  return replaced(fd, buffer, TransferLimit(size), flags);
+  return kReplaced(fd, buffer, TransferLimit(size), flags);
 }
 
 ssize_t sendmsg(int fd, const msghdr* message, int flags) {
-  static auto* const replaced = Replaced<ssize_t(int, const msghdr*, int)>("sendmsg");
+  static auto* const kReplaced = Replaced<ssize_t(int, const msghdr*, int)>("sendmsg");
   if (IsInterrupted()) return -1;
   std::vector<iovec> parts;
   const msghdr shortened = Shortened(*message, TransferLimit(SizeOf(*message)), parts);
-  return replaced(fd, &shortened, flags);
+  return kReplaced(fd, &shortened, flags);
 }
 
 int listen(int fd, int backlog) {
-  static auto* const replaced = Replaced<int(int, int)>("listen");
+  static auto* const kReplaced = Replaced<int(int, int)>("listen");
   is_listening = true;
-  return replaced(fd, backlog);
+  return kReplaced(fd, backlog);
 }
 
 int accept(int fd, sockaddr* address, socklen_t* size) {
-  static auto* const replaced = Replaced<int(int, sockaddr*, socklen_t*)>("accept");
+  static auto* const kReplaced = Replaced<int(int, sockaddr*, socklen_t*)>("accept");
   if (Faults().Happens("accept")) {
     return FailWithOneOf(std::array{ECONNABORTED, EINTR, EPROTO, ENFILE, EMFILE, ENOBUFS, ENOMEM});
   }
-  return replaced(fd, address, size);
+  return kReplaced(fd, address, size);
 }
 
 int socket(int domain, int type, int protocol) {
-  static auto* const replaced = Replaced<int(int, int, int)>("socket");
+  static auto* const kReplaced = Replaced<int(int, int, int)>("socket");
   if (is_listening && Faults().Happens("open")) return FailWithOneOf(std::array{ENFILE, EMFILE, ENOBUFS});
-  return replaced(domain, type, protocol);
+  return kReplaced(domain, type, protocol);
 }
 
 int connect(int fd, const sockaddr* address, socklen_t size) {
-  static auto* const replaced = Replaced<int(int, const sockaddr*, socklen_t)>("connect");
+  static auto* const kReplaced = Replaced<int(int, const sockaddr*, socklen_t)>("connect");
   if (is_listening && Faults().Happens("connect"))
     return FailWithOneOf(std::array{EADDRNOTAVAIL, ENETUNREACH});
-  return replaced(fd, address, size);
+  return kReplaced(fd, address, size);
 }
 
 int close(int fd) {
-  static auto* const replaced = Replaced<int(int)>("close");
+  static auto* const kReplaced = Replaced<int(int)>("close");
   Registered().erase(fd);
-  return replaced(fd);
+  return kReplaced(fd);
 }
 
 int epoll_ctl(int epoll_fd, int operation, int fd, epoll_event* event) {
-  static auto* const replaced = Replaced<int(int, int, int, epoll_event*)>("epoll_ctl");
+  static auto* const kReplaced = Replaced<int(int, int, int, epoll_event*)>("epoll_ctl");
   if (operation == EPOLL_CTL_DEL) {
     Registered().erase(fd);
   } else {
     Registered()[fd] = *event;
   }
-  return replaced(epoll_fd, operation, fd, event);
+  return kReplaced(epoll_fd, operation, fd, event);
 }
 
 int epoll_wait(int epoll_fd, epoll_event* events, int max_events, int timeout) {
-  static auto* const replaced = Replaced<int(int, epoll_event*, int, int)>("epoll_wait");
+  static auto* const kReplaced = Replaced<int(int, epoll_event*, int, int)>("epoll_wait");
   if (IsInterrupted()) return -1;
-  const int count = replaced(epoll_fd, events, max_events, timeout);
+  const int count = kReplaced(epoll_fd, events, max_events, timeout);
   const bool adds_wakeup =
       count >= 0 && count < max_events && !Registered().empty() && Faults().Happens("wakeup");
   return adds_wakeup ? AddWakeup(events, count) : count;
 }
 
 int clock_gettime(clockid_t clock, timespec* time) {
-  static auto* const replaced = Replaced<int(clockid_t, timespec*)>("clock_gettime");
-  const int result = replaced(clock, time);
+  static auto* const kReplaced = Replaced<int(clockid_t, timespec*)>("clock_gettime");
+  const int result = kReplaced(clock, time);
   if (result != 0 || clock != CLOCK_REALTIME || Faults().Value("clock") == 0) return result;
   timespec monotonic{};
-  replaced(CLOCK_MONOTONIC, &monotonic);
+  kReplaced(CLOCK_MONOTONIC, &monotonic);
   time->tv_sec += WallClockOffset(monotonic);
   return result;
 }
