The log names each failed call of discovery, the age of the list and the hosts it changes

New lines: 'discovery call=...' with the time since the previous call, duration, reason and how long the list had not been confirmed; 'hosts changed ...' with the ids. Long outages write ever fewer lines. The existing lines are unchanged. Command.RunReloadsWatchedFileWhenItChanges took the first '127.0.0.1:' of the log for the listener's address and failed, since the new line names the host before it; it now looks for the listener's own line.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,8 @@
   return settings;
 }
 
+void WriteLogLine(const std::string& line) { std::fprintf(stderr, "forkwick: %s\n", line.c_str()); }
+
 }  // namespace
 
 // Connections to hosts and to clients have separate shares of the descriptors, which together stay below the
@@ -36,8 +38,10 @@
                             [this] { discovery_.Watch(); }})),
       discovery_(io, config.discovery, config.known.revision,
                  {[this](const HostList& list) { pool_->UpdateMembership(list); },
-                  [this] { OnMembershipUpdateFailed(); },
-                  [](const std::string& line) { std::fprintf(stderr, "forkwick: %s\n", line.c_str()); }},
+                  [this] { OnMembershipUpdateFailed(); }, WriteLogLine,
+                  [](const EndedCall& call) {
+                    if (IsNotable(call)) WriteLogLine(FormatEndedCall(call));
+                  }},
                  config.seed),
       http_server_(io, HttpServerLimitsFor(config.sockets, config.memory_mb),
                    {[this] { return pool_->has_hosts() && !stop_.has_begun(); },
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -123,7 +123,10 @@
 }
 
 void Pool::UpdateMembership(const HostList& list) {
-  host_pool_.Update(list);  // before the module reacts: it must not send to a host that is gone
+  // Before the module reacts: it must not send to a host that is gone.
+  const HostChanges changes = host_pool_.Update(list);
+  if (!changes.IsEmpty())
+    Execute(Log{FormatHostChanges(Now(), list.revision, host_pool_.host_count(), changes)});
   has_hosts_ = has_hosts_ || !list.hosts.empty();
   HandleEvent(ToMembershipUpdate(list));
 }
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -41,6 +41,8 @@
       schedule_(revision, times),
       random_(seed),
       handlers_(std::move(handlers)),
+      last_call_ended_at_(Now()),
+      confirmed_at_(last_call_ended_at_),
       next_call_timer_(io) {}
 
 void Discovery::Watch() {
@@ -141,7 +143,9 @@
   call->timer.cancel();
   call_.reset();
   if (!response.keep_alive()) socket_.reset();
+  const int failures = schedule_.consecutive_failures();
   Log(schedule_.RecordSuccess(Now() - call->sent_at, !list->hosts.empty()));
+  ReportEnd(*call, std::nullopt, "", failures, &*list);
   const std::weak_ptr alive(alive_);
   handlers_.on_update(std::move(*list));
   if (alive.expired()) return;
@@ -160,6 +164,7 @@
   if (call != call_) return;
   Disconnect();
   Log(schedule_.RecordFailure(failure, Now() - call->sent_at, detail));
+  ReportEnd(*call, failure, detail, schedule_.consecutive_failures(), nullptr);
   if (schedule_.ShouldRetryImmediately(failure)) return StartCall();
   is_watching_ = false;
   handlers_.on_failure();
@@ -169,6 +174,25 @@
   if (line && handlers_.on_log) handlers_.on_log(*line);
 }
 
+void Discovery::ReportEnd(const Call& call, std::optional<WatchFailure> failure, const std::string& detail,
+                          int failures, const HostList* list) {
+  const Millis now = Now();
+  EndedCall ended;
+  ended.number = ++calls_ended_;
+  ended.ended_at = now;
+  ended.since_previous = call.started_at - std::exchange(last_call_ended_at_, now);
+  ended.elapsed = now - call.started_at;
+  ended.failure = failure;
+  ended.detail = detail;
+  ended.consecutive_failures = failures;
+  ended.revision = schedule_.revision();
+  ended.hosts = list == nullptr ? 0 : list->hosts.size();
+  ended.unconfirmed_for = now - confirmed_at_;
+  // A watch that discovery itself ends has delivered everything up to then.
+  if (!failure || (failure == WatchFailure::kClosed && failures == 1)) confirmed_at_ = now;
+  if (handlers_.on_call_ended) handlers_.on_call_ended(ended);
+}
+
 // Abandons the call and closes the connection. Handlers still pending see that their call is not the current
 // one.
 void Discovery::Disconnect() {
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "membership/host_list.hpp"
+#include "membership/watch_log.hpp"
 #include "membership/watch_schedule.hpp"
 
 namespace opalswitch::gateway {
@@ -27,6 +28,8 @@
     // The watch has ended; call Watch() or WatchAfterDelay() to start a new one.
     std::function<void()> on_failure;
     std::function<void(const std::string&)> on_log = {};  // one line for the log; may be null
+    std::function<void(const EndedCall&)> on_call_ended =
+        {};  // each call that was not abandoned; may be null
   };
   // `revision` is that of a list already known from this service, if any. `seed` is for the random delays
   // that spread the calls of many gateways.
@@ -52,6 +55,9 @@
   void SetTimeout(const std::shared_ptr<Call>& call, Millis timeout, WatchFailure failure);
   void HandleFailure(const std::shared_ptr<Call>& call, WatchFailure failure, const std::string& detail = "");
   void Log(const std::optional<std::string>& line) const;
+  // Reports the end of `call`. `failures` includes it; `list` is null if the call has failed.
+  void ReportEnd(const Call& call, std::optional<WatchFailure> failure, const std::string& detail,
+                 int failures, const HostList* list);
   void Disconnect();
 
   boost::asio::io_context& io_;
@@ -62,6 +68,9 @@
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // reused by the calls of a watch
   std::shared_ptr<Call> call_;                            // the current call; results of others are dropped
   std::uint64_t address_changes_ = 0;
+  std::uint64_t calls_ended_ = 0;
+  Millis last_call_ended_at_;
+  Millis confirmed_at_;  // when the list in effect was last known to be the latest one
   boost::asio::steady_timer next_call_timer_;
   bool is_watching_ = false;
   // Expires with this object: pending handlers hold weak pointers to it.
--- a/src/membership/host_source.cpp
+++ b/src/membership/host_source.cpp
@@ -99,7 +99,10 @@
                     discovery_.WatchAfterDelay();
                     handlers_.on_failure();
                   },
-                  handlers_.on_log},
+                  handlers_.on_log,
+                  [this](const EndedCall& call) {
+                    if (IsNotable(call)) handlers_.on_log(FormatEndedCall(call));
+                  }},
                  std::random_device{}()) {}
 
 void DiscoverySource::Start() { discovery_.Watch(); }
--- /dev/null
+++ b/src/membership/watch_log.cpp
@@ -0,0 +1,49 @@
+#include "membership/watch_log.hpp"
+
+#include <bit>
+#include <iomanip>
+#include <sstream>
+
+namespace opalswitch::gateway {
+namespace {
+
+// Failures in a row of which each one is logged; then only the 16th, 32nd and so on.
+constexpr int kMaxFailuresLoggedEach = 8;
+constexpr Millis kMillisPerSecond = 1000;
+
+const char* FailureName(WatchFailure failure) {
+  switch (failure) {
+    case WatchFailure::kConnectFailed: return "connect_failed";
+    case WatchFailure::kTimeout: return "timeout";
+    case WatchFailure::kClosed: return "closed";
+    case WatchFailure::kTruncated: return "truncated";
+    case WatchFailure::kErrorStatus: return "error_status";
+    case WatchFailure::kMalformed: return "malformed";
+    case WatchFailure::kStaleRevision: return "stale_revision";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+bool IsNotable(const EndedCall& call) {
+  if (!call.failure) return call.hosts > 0 || call.consecutive_failures > 0;
+  const auto failures = static_cast<unsigned>(call.consecutive_failures);
+  return call.consecutive_failures <= kMaxFailuresLoggedEach || std::has_single_bit(failures);
+}
+
+std::string FormatEndedCall(const EndedCall& call) {
+  std::ostringstream line;
+  line << "discovery call=" << call.number << std::fixed << std::setprecision(3)
+       << " at=" << call.ended_at / kMillisPerSecond << std::setprecision(1)
+       << " ended=" << (call.failure ? FailureName(*call.failure) : "list")
+       << " gap_ms=" << call.since_previous << " after_ms=" << call.elapsed
+       << " failures=" << call.consecutive_failures;
+  if (call.revision) line << " revision=" << *call.revision;
+  if (!call.failure) line << " hosts=" << call.hosts;
+  line << " unconfirmed_ms=" << call.unconfirmed_for;
+  if (!call.detail.empty()) line << " detail=\"" << call.detail << '"';
+  return line.str();
+}
+
+}  // namespace opalswitch::gateway
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -103,6 +103,8 @@
 
   const WatchTimes& times() const { return times_; }
   std::optional<std::int64_t> revision() const { return revision_; }
+  // Failed calls since the last accepted list.
+  int consecutive_failures() const { return consecutive_failures_; }
 
  private:
   // Adds a sample to the EWMA; negative ones count as 0.
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -314,7 +314,8 @@
   for (const auto& [attempt, connection] : std::exchange(in_flight_, {})) connection->Close();
 }
 
-void HostPool::Update(const HostList& list) {
+HostChanges HostPool::Update(const HostList& list) {
+  HostChanges changes;
   if (list.complete) {
     for (auto& [id, host] : hosts_) host.is_up = false;
   }
@@ -326,8 +327,11 @@
   }
   for (auto& [id, host] : hosts_) {
     if (!host.is_up) CloseIdleConnections(host);
+    if (host.is_up == host.is_new) (host.is_up ? changes.added : changes.removed).push_back(id);
+    host.is_new = false;
   }
   std::erase_if(hosts_, [](const auto& entry) { return !entry.second.is_up; });
+  return changes;
 }
 
 std::uint64_t HostPool::Start(const std::string& host, std::shared_ptr<const HttpRequest> request,
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/http_types.hpp"
+#include "membership/host_changes.hpp"
 #include "membership/host_list.hpp"
 #include "opalswitch/policy.hpp"
 #include "upstream/quiet_period.hpp"
@@ -49,9 +50,9 @@
   HostPool(const HostPool&) = delete;
   HostPool& operator=(const HostPool&) = delete;
 
-  // Applies a host list. Takes effect immediately: a host that drains or is removed gets no further requests,
-  // not even on a connection that is still being established.
-  void Update(const HostList& list);
+  // Applies a host list and returns what it changed. Takes effect immediately: a host that drains or is
+  // removed gets no further requests, not even on a connection that is still being established.
+  HostChanges Update(const HostList& list);
 
   // Sends the request to a host. Completes with kNotSent if the host is not up, the deadline has passed, or
   // no connection is available. Returns the id of the attempt, for Cancel.
@@ -72,6 +73,7 @@
 
     boost::asio::ip::tcp::endpoint address;
     bool is_up = false;
+    bool is_new = true;  // until the end of the update that lists it first
     QuietPeriod quiet_period;
     std::vector<std::shared_ptr<Connection>> idle;  // most recently used last
   };
--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -134,9 +134,10 @@
   std::string port;
   ASSERT_TRUE(RunUntil(io, [&] {
     const std::string log = process.StandardError();
-    const std::size_t at = log.find("127.0.0.1:"), end = log.find('\n', at);
+    const std::string prefix = "listener in at 127.0.0.1:";
+    const std::size_t at = log.find(prefix), end = log.find('\n', at);
     if (at == std::string::npos || end == std::string::npos) return false;
-    port = log.substr(at + 10, end - at - 10);
+    port = log.substr(at + prefix.size(), end - at - prefix.size());
     return true;
   }));
   Client client(io, Loopback(static_cast<unsigned short>(std::stoi(port))));
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -205,7 +205,8 @@
                      ++failures;
                      asio::post(io, [this] { discovery.Watch(); });
                    },
-                   [this](const std::string& line) { log_lines.push_back(line); }},
+                   [this](const std::string& line) { log_lines.push_back(line); },
+                   [this](const gateway::EndedCall& call) { ended_calls.push_back(call); }},
                   1, times) {
     discovery.Watch();
   }
@@ -248,6 +249,7 @@
   Peer peer{io};
   std::vector<HostList> updates;
   std::vector<std::string> log_lines;
+  std::vector<gateway::EndedCall> ended_calls;
   int failures = 0;
   Discovery discovery;
 };
@@ -338,6 +340,30 @@
   EXPECT_NE(fixture.log_lines.at(0).find("older than the one known (40)"), std::string::npos);
 }
 
+// Guards an incident's timeline against calls that are missing in the log, or whose list seems confirmed
+// while it was not.
+TEST(Discovery, ReportsTheEndOfEachCallAndTheAgeOfTheList) {
+  DiscoveryFixture fixture;
+  fixture.AwaitRequest(0);  // not answered
+  fixture.AwaitRequest(1).Answer(503, "");
+  fixture.AwaitRequest(2).Answer(200, kDrainingHost);
+  fixture.AwaitRequest(3);
+  ASSERT_EQ(fixture.ended_calls.size(), 3u);
+  const auto& calls = fixture.ended_calls;
+  EXPECT_EQ(calls[0].failure, WatchFailure::kTimeout);
+  EXPECT_GE(calls[0].elapsed, 300);  // the response time-out
+  EXPECT_EQ(calls[1].failure, WatchFailure::kErrorStatus);
+  EXPECT_EQ(calls[1].detail, "503");
+  EXPECT_EQ(calls[1].consecutive_failures, 2);
+  EXPECT_EQ(calls[1].revision, 41);
+  EXPECT_GE(calls[1].unconfirmed_for, calls[0].elapsed + calls[1].elapsed);
+  EXPECT_FALSE(calls[2].failure);
+  EXPECT_EQ(calls[2].number, 3u);
+  EXPECT_EQ(calls[2].revision, 42);
+  EXPECT_EQ(calls[2].hosts, 1u);
+  EXPECT_GE(calls[2].unconfirmed_for, calls[1].unconfirmed_for);
+}
+
 // Guards against a watch that ends, or a log that fills up, while connections are refused.
 TEST(Discovery, RecoversFromLongOutageWithTwoLogLines) {
   DiscoveryFixture fixture(LongTimes());
--- a/tests/host_pool_test.cpp
+++ b/tests/host_pool_test.cpp
@@ -205,5 +205,30 @@
   EXPECT_EQ(pool.connections(), 1u);
 }
 
+// Guards the log against changes of the host list that are not told, or told twice.
+TEST(HostPool, UpdateReturnsTheHostsThatBecameAvailableOrUnavailable) {
+  asio::io_context io;
+  gateway::HostPool pool(io, LimitsWithQuietPeriod(10));
+  gateway::HostList list;
+  for (const char* id : {"h0", "h1", "h2", "draining"}) list.hosts.push_back({MakeHost(id), Loopback(1)});
+  list.hosts.back().server.state = ServerState::kDraining;
+  using Ids = std::vector<std::string>;
+  gateway::HostChanges changes = pool.Update(list);
+  EXPECT_EQ(changes.added, (Ids{"h0", "h1", "h2"}));
+  EXPECT_EQ(changes.removed, Ids());
+  EXPECT_TRUE(pool.Update(list).IsEmpty());
+  list.complete = false;
+  list.hosts = {{MakeHost("h1"), Loopback(1)}, {MakeHost("h3"), Loopback(1)}};
+  list.hosts[0].server.state = ServerState::kDraining;
+  changes = pool.Update(list);
+  EXPECT_EQ(changes.added, Ids{"h3"});
+  EXPECT_EQ(changes.removed, Ids{"h1"});
+  list.complete = true;
+  list.hosts = {{MakeHost("h3"), Loopback(1)}};
+  changes = pool.Update(list);
+  EXPECT_EQ(changes.added, Ids());
+  EXPECT_EQ(changes.removed, (Ids{"h0", "h2"}));
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
