--- a/tests/gateway_process.hpp
+++ b/tests/gateway_process.hpp
@@ -7,8 +7,10 @@
 
 #include <cstdio>
 #include <fstream>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "peers.hpp"
@@ -16,13 +18,21 @@
 
 namespace opalswitch::testing {
 
-struct TempFile {
+// A file that is removed at the end.
+class TempFile {
+ public:
   explicit TempFile(const std::string& text)
-      : path(::testing::TempDir() + "forkwick-process-" + std::to_string(getpid()) + ".json") {
-    std::ofstream(path) << text;
+      : path(::testing::TempDir() + "forkwick-process-" + std::to_string(getpid()) + "-" +
+             std::to_string(++count_) + ".json") {
+    Write(text);
   }
   ~TempFile() { std::remove(path.c_str()); }
+  void Write(const std::string& text) const { std::ofstream(path) << text; }
+
   const std::string path;
+
+ private:
+  static inline int count_ = 0;
 };
 
 // Returns an address on loopback that was free a moment ago.
@@ -33,38 +43,67 @@
 // A running gateway that knows these hosts: h0, h1, ...
 class GatewayProcess {
  public:
-  // Returns once the gateway listens. `variables` are added to its environment.
+  struct Options {
+    std::vector<tcp::endpoint> hosts;
+    nlohmann::json settings;
+    std::string seed = "1f";  // of the decision module, in hex
+    tcp::endpoint discovery;
+    Process::Variables variables;  // added to its environment
+  };
+
+  // With a discovery service that never answers. Returns once the gateway listens.
   GatewayProcess(asio::io_context& io, const std::vector<tcp::endpoint>& hosts, nlohmann::json settings,
                  Process::Variables variables = {})
-      : discovery_(io),
+      : GatewayProcess(io, std::make_unique<Peer>(io), hosts, std::move(settings), std::move(variables)) {}
+
+  // With a discovery service of the test's. Returns at once.
+  GatewayProcess(asio::io_context& io, Options options)
+      : options_(std::move(options)),
         address_(FreeAddress(io)),
-        file_(ConfigText(hosts, std::move(settings))),
-        process_(WithAddresses(std::move(variables))) {
-    // It listens before it calls discovery.
-    EXPECT_TRUE(RunUntil(io, [&] { return discovery_.requests.size() == 1 || process_.HasExited(); }));
-    EXPECT_FALSE(process_.HasExited()) << process_.StandardError();
-  }
+        file_(ConfigText(options_.discovery)),
+        process_(Variables()) {}
 
   const tcp::endpoint& address() const { return address_; }
   Process& process() { return process_; }
 
+  // Gives the running gateway another discovery service, by a changed configuration file and SIGHUP.
+  void MoveDiscovery(const tcp::endpoint& discovery) {
+    file_.Write(ConfigText(discovery));
+    process_.Hangup();
+  }
+
  private:
-  static std::string ConfigText(const std::vector<tcp::endpoint>& hosts, nlohmann::json settings) {
+  GatewayProcess(asio::io_context& io, std::unique_ptr<Peer> discovery,
+                 const std::vector<tcp::endpoint>& hosts, nlohmann::json settings,
+                 Process::Variables variables)
+      : GatewayProcess(
+            io, Options{hosts, std::move(settings), "1f", discovery->address(), std::move(variables)}) {
+    discovery_ = std::move(discovery);
+    // It listens before it calls discovery.
+    EXPECT_TRUE(RunUntil(io, [&] { return discovery_->requests.size() == 1 || process_.HasExited(); }));
+    EXPECT_FALSE(process_.HasExited()) << process_.StandardError();
+  }
+
+  std::string ConfigText(const tcp::endpoint& discovery) const {
     std::vector<nlohmann::json> members;
-    for (std::size_t i = 0; i < hosts.size(); ++i)
-      members.push_back(Member("h" + std::to_string(i), hosts[i]));
-    return nlohmann::json{
-        {"seed", "1f"}, {"known", List(1, true, members)}, {"settings", std::move(settings)}}
+    for (std::size_t i = 0; i < options_.hosts.size(); ++i)
+      members.push_back(Member("h" + std::to_string(i), options_.hosts[i]));
+    return nlohmann::json{{"seed", options_.seed},
+                          {"discovery", ToText(discovery)},
+                          {"known", List(1, true, members)},
+                          {"settings", options_.settings}}
         .dump();
   }
-  Process::Variables WithAddresses(Process::Variables variables) const {
+  Process::Variables Variables() const {
+    Process::Variables variables = options_.variables;
     variables.emplace_back("NODE_CONFIG", file_.path);
     variables.emplace_back("NODE_LISTEN", ToText(address_));
-    variables.emplace_back("NODE_DISCOVERY", ToText(discovery_.address()));
+    variables.emplace_back("NODE_DISCOVERY", ToText(options_.discovery));
     return variables;
   }
 
-  Peer discovery_;
+  std::unique_ptr<Peer> discovery_;
+  const Options options_;
   const tcp::endpoint address_;
   const TempFile file_;
   Process process_;
--- /dev/null
+++ b/tests/membership_deadline_test.cpp
@@ -0,0 +1,192 @@
+// forkwick as a process: how late it may send new work to a server that the discovery service has removed,
+// when calls of discovery fail. Each gateway process has a discovery service of its own.
+//
+// FORKWICK_TEST_SEED: seed of the first gateway.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway_process.hpp"
+#include "peers.hpp"
+#include "standins/discovery_service.hpp"
+#include "standins/faulty_environment.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using Reaction = DiscoveryService::Reaction;
+
+// A change counts as known at the latest this long after discovery has it and can be reached.
+constexpr milliseconds kKnownAfterReachable(6000);
+// The same after SIGHUP with a new address.
+constexpr milliseconds kKnownAfterAddressChange(4000);
+constexpr milliseconds kDrainGrace(550);     // 500, and 50 on sockets
+constexpr milliseconds kMeasuringSlack(50);  // the hosts' event loop may be late
+constexpr milliseconds kRequestInterval(25);
+constexpr milliseconds kMaxTestTime(28000);
+
+nlohmann::json SettingsFor(int gateways, const std::string& membership_mode = "ask") {
+  nlohmann::json settings = TestSettings();
+  settings["peersTotal"] = gateways;
+  settings["membershipMode"] = membership_mode;
+  settings["rules"] = {{"askWithinMs", 10000.0}};
+  return settings;
+}
+
+// A host that answers after a millisecond and records when the last request of each gateway has arrived.
+class RecordingHost {
+ public:
+  explicit RecordingHost(asio::io_context& io) : peer(io) {
+    peer.keeps_requests = false;
+    peer.serve = [this, &io](const Peer::ReceivedRequest& request) {
+      const std::string id(request.http["Req-Id"]);
+      last_request_at[id.substr(0, id.find('-'))] = std::chrono::steady_clock::now();
+      const auto timer = std::make_shared<asio::steady_timer>(io, milliseconds(1));
+      timer->async_wait([request, timer](error_code) { request.Answer(200, ""); });
+    };
+  }
+  Peer peer;
+  std::map<std::string, SteadyTime> last_request_at;  // by the name of the gateway
+};
+
+// A gateway with its discovery service and a client that sends a request every kRequestInterval.
+class WatchedGateway {
+ public:
+  WatchedGateway(asio::io_context& io, unsigned seed, const nlohmann::json& settings,
+                 const std::vector<std::unique_ptr<RecordingHost>>& hosts)
+      : discovery(io), name("g" + std::to_string(seed)), io_(io), timer_(io) {
+    GatewayProcess::Options options;
+    std::vector<nlohmann::json> members;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      options.hosts.push_back(hosts[i]->peer.address());
+      members.push_back(Member("h" + std::to_string(i), options.hosts.back()));
+    }
+    discovery.Publish(members);  // as revision 1, which the gateway's configuration has too
+    options.settings = settings;
+    options.seed = std::to_string(seed);
+    options.discovery = discovery.address();
+    process = std::make_unique<GatewayProcess>(io, options);
+    SendLater();
+  }
+
+  // Whether the gateway has been sent the newest list, and this long has passed since.
+  bool HasHadNewestListFor(milliseconds duration) const {
+    const auto written_at = discovery.newest_written_at();
+    return written_at && std::chrono::steady_clock::now() >= *written_at + duration;
+  }
+
+  DiscoveryService discovery;
+  const std::string name;
+  std::unique_ptr<GatewayProcess> process;
+  // The last moment for new work to h0; unset as long as nothing has removed it.
+  std::optional<SteadyTime> deadline;
+
+ private:
+  void SendLater() {
+    timer_.expires_after(kRequestInterval);
+    timer_.async_wait([this](error_code ec) {
+      if (!ec) Send();
+    });
+  }
+  void Send() {
+    if (client_ && client_->ended()) client_.reset();
+    if (!client_) {
+      try {
+        client_ = std::make_unique<Client>(io_, process->address());
+      } catch (const std::exception&) {  // it does not listen yet
+        return SendLater();
+      }
+      requests_on_connection_ = 0;
+    }
+    if (client_->answers().size() == requests_on_connection_) {
+      client_->Send(ApiRequest(name + "-" + std::to_string(++requests_)));
+      ++requests_on_connection_;
+    }
+    SendLater();
+  }
+
+  asio::io_context& io_;
+  asio::steady_timer timer_;
+  std::unique_ptr<Client> client_;
+  std::size_t requests_on_connection_ = 0;
+  int requests_ = 0;
+};
+
+// Gateways with seeds in a row, and two hosts of which h0 is removed in the course of a test.
+class MembershipDeadline : public ::testing::Test {
+ protected:
+  // `script` sets the discovery service's reactions; it is called before the gateway's process starts to
+  // call.
+  void Start(int count, const nlohmann::json& settings, const std::function<void(WatchedGateway&)>& script) {
+    for (int i = 0; i < 2; ++i) hosts.push_back(std::make_unique<RecordingHost>(io));
+    for (int i = 0; i < count; ++i) {
+      gateways.push_back(
+          std::make_unique<WatchedGateway>(io, TestSeed() + static_cast<unsigned>(i), settings, hosts));
+      script(*gateways.back());
+    }
+  }
+
+  // Discovery removes h0 now, which counts as known after `known_after`.
+  void RemoveFirstHost(WatchedGateway& gateway, milliseconds known_after) {
+    gateway.discovery.Publish({Member("h0", hosts[0]->peer.address(), "removed")});
+    gateway.deadline = std::chrono::steady_clock::now() + known_after + kDrainGrace + kMeasuringSlack;
+  }
+
+  // Runs until each gateway has had the newest list for longer than the grace.
+  void RunUntilAllKnow() {
+    const auto end = std::chrono::steady_clock::now() + kMaxTestTime;
+    const auto knows = [](const auto& gateway) {
+      return gateway->deadline && gateway->HasHadNewestListFor(kDrainGrace + kMeasuringSlack);
+    };
+    while (!std::all_of(gateways.begin(), gateways.end(), knows)) {
+      if (std::chrono::steady_clock::now() > end) break;
+      io.run_one_for(milliseconds(50));
+    }
+  }
+
+  // No gateway has sent to h0 after its deadline, or later than the grace after it was sent the list.
+  void ExpectNoLateRequests() {
+    for (const auto& gateway : gateways) {
+      SCOPED_TRACE(gateway->name + "\n" + gateway->process->process().StandardError());
+      EXPECT_TRUE(hosts[1]->last_request_at.contains(gateway->name)) << "no traffic";
+      ASSERT_TRUE(gateway->deadline) << "discovery was not called often enough";
+      const SteadyTime last = hosts[0]->last_request_at[gateway->name];
+      EXPECT_LE(MillisBetween(*gateway->deadline, last), 0) << "ms after the deadline";
+      const auto written_at = gateway->discovery.newest_written_at();
+      ASSERT_TRUE(written_at) << "the list was never asked for";
+      EXPECT_LE(last, *written_at + kDrainGrace + kMeasuringSlack) << "after the list was sent";
+    }
+  }
+
+  static double MillisBetween(SteadyTime from, SteadyTime to) {
+    return std::chrono::duration<double, std::milli>(to - from).count();
+  }
+
+  asio::io_context io;
+  std::vector<std::unique_ptr<RecordingHost>> hosts;
+  std::vector<std::unique_ptr<WatchedGateway>> gateways;
+};
+
+// Guards servers that are removed while discovery is down against new work long after it is back: the delay
+// between calls must not exceed the time after which a change counts as known.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterAnOutageOfDiscoveryInALargeFleet) {
+  constexpr int kFailedCalls = 3;
+  Start(24, SettingsFor(181), [this](WatchedGateway& gateway) {
+    gateway.discovery.react = [this, &gateway](int call) {
+      // Discovery is back just after the last failed call, the worst moment.
+      if (call == kFailedCalls) RemoveFirstHost(gateway, kKnownAfterReachable);
+      return call <= kFailedCalls ? Reaction::kReset : Reaction::kServe;
+    };
+  });
+  RunUntilAllKnow();
+  ExpectNoLateRequests();
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -26,6 +26,7 @@
 using gateway::HttpRequest;
 using gateway::HttpResponse;
 using tcp = asio::ip::tcp;
+using SteadyTime = std::chrono::steady_clock::time_point;
 
 inline tcp::endpoint Loopback(unsigned short port = 0) { return {asio::ip::address_v4::loopback(), port}; }
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -748,6 +748,26 @@
   }
 }
 
+// Guards servers that are removed during an outage of discovery against new work long after it is back: a
+// change counts as known 6 s after discovery can be reached again, and the call takes a part of that.
+TEST(Membership, FailedWatchIsRepeatedBeforeAChangeCountsAsKnown) {
+  constexpr Millis kKnownAfterMs = 6000, kReservedForCallMs = 1200, kSweepMs = 10;
+  for (const int gateways : {1, 2, 20, 101, 181, 900}) {
+    Settings settings = MakeSettings();
+    settings.requires_watch = true;
+    settings.gateways = gateways;
+    FakeGateway gateway(settings, static_cast<std::uint64_t>(gateways));
+    gateway.SetServerCount(3);
+    gateway.AdvanceTime(10000);
+    for (int failures = 1; failures <= 50; ++failures) {
+      gateway.HandleEvent(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}});
+      const int watches = FakeGateway::CountActions<Watch>(
+          gateway.AdvanceTime(kKnownAfterMs - kReservedForCallMs + kSweepMs));
+      ASSERT_EQ(watches, 1) << gateways << " gateways, failure " << failures;
+    }
+  }
+}
+
 TEST(KeyAffinity, KeyIsSentToTheSameServersByAllGateways) {
   Settings settings = MakeSettings();
   settings.has_key_affinity = true;
--- a/tests/standins/faulty_traffic.hpp
+++ b/tests/standins/faulty_traffic.hpp
@@ -16,8 +16,6 @@
 
 namespace opalswitch::testing {
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
 // What happened to one request.
 struct RequestRecord {
   bool is_unsafe = false;
