The next call after a failed one comes within 4.75 s, in a fleet of any size

What callers saw: requests were sent to a server 7.03 s after it had been removed from the list. Cause: after a failed call the module waited 2.5 to 7.5 s (mean: 50 ms a gateway, 5 s at the most) before the next one, and fleets of any size came there by doubling, while a change counts as known 6 s after discovery has it and can be reached. A gateway whose last failed call came just before discovery was back learned of it up to 7.5 s later. Change: the delay is at most kMaxWatchRetryDelayMs. After an established watch, which ends at all gateways at once, it is drawn from 0 to that bound; a request that failed was spread already and keeps its distance, within 15%. FreeAddress now gives each port once, on an IP address that no other test process uses.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -142,6 +142,10 @@
   Millis started_at = 0;  // start time of the server process; 0 = long ago
 };
 
+// Longest time from a failed membership request to the next one. A change of the list counts as known to the
+// gateway 6 s after the source has it and can be reached; the rest of that time is for the request itself.
+inline constexpr Millis kMaxWatchRetryDelayMs = 4750;
+
 // A change of the server list. kFull replaces the list; kDelta adds or updates only the servers it contains.
 // kFailed reports that the membership source failed: it carries no servers and the last list stays in effect.
 struct MembershipUpdate {
--- a/src/module/membership.cpp
+++ b/src/module/membership.cpp
@@ -10,27 +10,43 @@
 // Factor of both with multiplexed connections. These stay open, and servers lose capacity with full
 // connection tables.
 constexpr double kMultiplexedSubsetFraction = 0.5;
-// Minimum backoff after a failed membership request; doubles with each failure.
-constexpr Millis kMinWatchBackoffMs = 100;
+// Mean delay after the first failed membership request; doubles with each consecutive failure.
+constexpr Millis kInitialWatchBackoffMs = 100;
+constexpr Millis kMinWatchRetryDelayMs = 50;
+// The longest delay before a membership request is this multiple of the mean one.
+constexpr double kMaxWatchRetryDelayFactor = 1.5;
+// Random part of the delay after a request that failed, rather than an established watch.
+constexpr double kWatchRetryJitter = 0.15;
 // Where all gateways make a membership request at the same time, they spread them over this time per gateway.
 constexpr Millis kWatchSpreadPerGatewayMs = 50;
 // Minimum time per server between two selections of the subset of a large membership.
 constexpr Millis kSubsetUpdateMsPerServer = 0.02;
 
 Millis Policy::Impl::WatchSpread() const {
-  return std::min(kWatchSpreadPerGatewayMs * (settings_.gateways - 1), settings_.max_watch_interval / 2);
+  return std::min({kWatchSpreadPerGatewayMs * (settings_.gateways - 1), settings_.max_watch_interval / 2,
+                   kMaxWatchRetryDelayMs});
+}
+
+// Exponential backoff, with at least the spread of all gateways: a membership source with a queue works
+// through the queued requests even if they have timed out. A source that goes down ends the watches of all
+// gateways at the same moment, so the next requests are spread over the whole delay. Requests that fail were
+// spread already, and keep their distance.
+Millis Policy::Impl::NextWatchRetryDelay() {
+  watch_backoff_ =
+      std::min(std::max(kInitialWatchBackoffMs, watch_backoff_ * 2), settings_.max_watch_interval / 2);
+  const Millis longest =
+      std::min(kMaxWatchRetryDelayFactor * std::max(watch_backoff_, WatchSpread()), kMaxWatchRetryDelayMs);
+  const double jitter = is_watch_established_ ? 1 : kWatchRetryJitter;
+  return std::max(kMinWatchRetryDelayMs, longest * (1 - jitter * Uniform()));
 }
 
 void Policy::Impl::HandleEvent(const MembershipUpdate& update) {
   if (update.kind == MembershipUpdate::Kind::kFailed) {
-    // Exponential backoff with jitter, at least the spread of all gateways: a membership source with a queue
-    // works through the queued requests even if they have timed out.
-    watch_backoff_ = std::min(std::max({kMinWatchBackoffMs, WatchSpread(), watch_backoff_ * 2}),
-                              settings_.max_watch_interval / 2);
-    next_watch_at_ = now_ + watch_backoff_ * (0.5 + Uniform());
+    next_watch_at_ = now_ + NextWatchRetryDelay();
     return;
   }
   watch_backoff_ = 0;
+  is_watch_established_ = true;
   const bool is_full = update.kind == MembershipUpdate::Kind::kFull;
   if (is_full) {
     for (auto& [id, server] : servers_) {
--- a/src/module/policy.cpp
+++ b/src/module/policy.cpp
@@ -89,6 +89,7 @@
   EmitAction(SetTimer{kSweepIntervalMs, "sweep"});
   if (settings_.requires_watch && now_ >= next_watch_at_) {
     EmitAction(Watch{});
+    is_watch_established_ = false;
     next_watch_at_ = std::numeric_limits<Millis>::infinity();
   }
   if (subset_update_pending_ && now_ >= next_subset_update_at_) UpdateSubset();
--- a/src/module/state.hpp
+++ b/src/module/state.hpp
@@ -209,6 +209,7 @@
   std::size_t utilization_index_ = 0;  // of "util" in a load report; past the end if it is not reported
   Millis next_watch_at_ = kDistantPast;
   Millis watch_backoff_ = 0;
+  bool is_watch_established_ = false;  // an update has come since the last Watch
 
   // Token bucket.
   double tokens_ = 1;
--- a/tests/gateway_process.hpp
+++ b/tests/gateway_process.hpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,9 +36,17 @@
   static inline int count_ = 0;
 };
 
-// Returns an address on loopback that was free a moment ago.
+// Returns an address on loopback for a program to listen at. No other test process uses its IP address, and
+// this one is given each port once, so that nobody takes it before the program has started.
 inline tcp::endpoint FreeAddress(asio::io_context& io) {
-  return tcp::acceptor(io, Loopback()).local_endpoint();
+  static std::set<unsigned short> used_ports;
+  const auto pid = static_cast<unsigned>(getpid());
+  constexpr unsigned kFirstAddress = 127U << 24 | 64U << 16;
+  const asio::ip::address_v4 address(kFirstAddress + pid % (64U << 16));
+  while (true) {
+    const tcp::endpoint endpoint = tcp::acceptor(io, {address, 0}).local_endpoint();
+    if (used_ports.insert(endpoint.port()).second) return endpoint;
+  }
 }
 
 // A running gateway that knows these hosts: h0, h1, ...
