The time that a call of discovery takes to fail counts as part of the delay to the next

Change: a failed call reports within which time the next one has to start, 4.75 s from its own start. A watch that discovery ends has delivered all until then, and gets the whole time. Calls after a failure time out within the same interval; the allowance for a queue is 2.75 s instead of 4. DiscoverySource's own retries have the same bound. WatchSchedule.CallsAfterAFailureStartWithinTheRetryInterval checks 200 random outages.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -142,8 +142,9 @@
   Millis started_at = 0;  // start time of the server process; 0 = long ago
 };
 
-// Longest time from a failed membership request to the next one. A change of the list counts as known to the
-// gateway 6 s after the source has it and can be reached; the rest of that time is for the request itself.
+// Longest time from a membership request that fails to the next one. A change of the list counts as known to
+// the gateway 6 s after the source has it and can be reached; the rest of that time is for the request
+// itself.
 inline constexpr Millis kMaxWatchRetryDelayMs = 4750;
 
 // A change of the server list. kFull replaces the list; kDelta adds or updates only the servers it contains.
@@ -152,6 +153,7 @@
   enum class Kind { kFull, kDelta, kFailed };
   Kind kind = Kind::kFull;
   std::vector<Server> servers;
+  Millis retry_within = kMaxWatchRetryDelayMs;  // kFailed only: the next Watch has to come within this time
 };
 
 using Event = std::variant<Request, StreamStarted, Outcome, ClientGone, TimerDue, MembershipUpdate>;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -34,7 +34,7 @@
 
  private:
   // Passes a failed watch on to the pool, and retries it unless the module requests its watches itself.
-  void OnMembershipUpdateFailed();
+  void OnMembershipUpdateFailed(Millis retry_within);
 
   const Settings settings_;
   const std::shared_ptr<Pool> pool_;
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -355,7 +355,9 @@
   }
 }
 
-void Pool::MembershipUpdateFailed() { HandleEvent(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}}); }
+void Pool::MembershipUpdateFailed(Millis retry_within) {
+  HandleEvent(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}, retry_within});
+}
 
 void Pool::ClientDisconnected(const std::string& id) {
   if (PendingRequest* const pending = FindRequest(id)) {
--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -12,6 +12,7 @@
 // Consecutive failures up to which truncated and malformed responses are retried without delay.
 constexpr int kMaxImmediateRetries = 4;
 constexpr double kQueueDelaySmoothingFactor = 0.3;
+constexpr Millis kMinRetryDelayMs = 20;  // keeps failed calls from following one another without a pause
 // Keeps the exponent in range; every delay has reached its bound by then.
 constexpr int kMaxDoublings = 16;
 
@@ -51,10 +52,11 @@
 
 Millis WatchSchedule::ResponseTimeout() const {
   if (wait_ <= 0) return times_.max_response_timeout;
-  return wait_ +
-         std::min(times_.max_response_timeout,
-                  2 * queue_delay_ + ExponentialDelay(times_.response_timeout, consecutive_timeouts_ - 1,
-                                                      times_.max_response_timeout));
+  const Millis timeout =
+      wait_ + std::min(times_.max_response_timeout,
+                       2 * queue_delay_ + ExponentialDelay(times_.response_timeout, consecutive_timeouts_ - 1,
+                                                           times_.max_response_timeout));
+  return consecutive_failures_ > 0 ? std::min(timeout, times_.max_retry_interval) : timeout;
 }
 
 Millis WatchSchedule::NextCallDelay(double uniform) const {
@@ -68,8 +70,18 @@
 }
 
 Millis WatchSchedule::RetryDelay(double uniform) const {
-  return ExponentialDelay(times_.initial_retry_delay, consecutive_failures_ - 1, times_.max_retry_delay) *
-         (0.5 + uniform);
+  const Millis delay =
+      ExponentialDelay(times_.initial_retry_delay, consecutive_failures_ - 1, times_.max_retry_delay) *
+      (0.5 + uniform);
+  return std::max(kMinRetryDelayMs, std::min(delay, retry_within_));
+}
+
+Millis WatchSchedule::RetryWithinAfter(WatchFailure failure, Millis elapsed) const {
+  // A watch that discovery ends has delivered all changes up to then. Any other call has missed those that
+  // came while it was out.
+  const bool is_ended_watch = consecutive_failures_ == 0 &&
+                              (failure == WatchFailure::kClosed || failure == WatchFailure::kErrorStatus);
+  return is_ended_watch ? times_.max_retry_interval : std::max(0.0, times_.max_retry_interval - elapsed);
 }
 
 bool WatchSchedule::AcceptList(const HostList& list) {
@@ -91,6 +103,7 @@
 std::optional<std::string> WatchSchedule::RecordFailure(WatchFailure failure, Millis elapsed,
                                                         const std::string& detail) {
   consecutive_timeouts_ = failure == WatchFailure::kTimeout ? consecutive_timeouts_ + 1 : 0;
+  retry_within_ = RetryWithinAfter(failure, elapsed);
   // An error that comes quickly means that discovery is down, and says nothing about its queue.
   if (failure == WatchFailure::kErrorStatus) UpdateQueueDelay(std::max(queue_delay_, elapsed));
   if (consecutive_failures_++ > 0) return std::nullopt;
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -17,9 +17,10 @@
 
 namespace opalswitch::gateway {
 
-// All in milliseconds. A gateway is held to know of a drain at the latest 2 s after a watch's wait has ended,
-// and may send the host no request 0.5 s after that. A watch that does not answer must therefore time out
-// early enough to leave time for another call.
+// All in milliseconds. A gateway is held to know of a drain at the latest 2 s after the wait of a watch that
+// has fallen silent, and 6 s after discovery has the drain and can be reached, whatever calls fail meanwhile.
+// It may send the host no request 0.5 s after that. So the next call after one that fails must come early
+// enough to be answered in that time.
 struct WatchTimes {
   // Mean time that a watch asks discovery to wait for changes. A watch whose connection is lost silently is
   // noticed only after this time.
@@ -31,7 +32,7 @@
   Millis response_timeout = 600;
   // Bound on response_timeout and twice the queue delay together. Also the whole time-out of a call that asks
   // for the complete list without a wait.
-  Millis max_response_timeout = 4000;
+  Millis max_response_timeout = 2750;
   Millis connect_timeout = 1000;
   // From the response's header to the end of its body.
   Millis body_timeout = 1000;
@@ -43,6 +44,9 @@
   // Mean delay after the first failed call; doubles with each consecutive failure, up to max_retry_delay.
   Millis initial_retry_delay = 200;
   Millis max_retry_delay = 3000;
+  // From the start of a call that fails to the start of the next one, unless it was a watch that discovery
+  // ended. Also the longest time-out of a call after a failed one.
+  Millis max_retry_interval = kMaxWatchRetryDelayMs;
 };
 
 // Why a call failed.
@@ -67,7 +71,7 @@
   std::string BeginCall(double uniform);
 
   // Time-out from sending the request to the response's header: the wait, plus an allowance for queueing and
-  // for earlier time-outs in a row.
+  // for earlier time-outs in a row. After a failed call at most max_retry_interval.
   Millis ResponseTimeout() const;
 
   // Delay between a response and the next call: random, up to twice the recent queue delay. Discovery serves
@@ -81,6 +85,9 @@
   // once.
   bool ShouldRetryImmediately(WatchFailure failure) const;
 
+  // Time after the last failure within which the next call has to start.
+  Millis RetryWithin() const { return retry_within_; }
+
   // Delay before the next call after a failure, for callers without a retry policy of their own.
   Millis RetryDelay(double uniform) const;
 
@@ -107,6 +114,8 @@
   int consecutive_failures() const { return consecutive_failures_; }
 
  private:
+  // RetryWithin() after a call that fails `elapsed` ms after it was sent.
+  Millis RetryWithinAfter(WatchFailure failure, Millis elapsed) const;
   // Adds a sample to the EWMA; negative ones count as 0.
   void UpdateQueueDelay(Millis sample);
 
@@ -117,6 +126,7 @@
   int consecutive_failures_ = 0, consecutive_timeouts_ = 0;
   int stale_lists_ = 0;  // consecutive complete lists with a revision below revision_
   std::int64_t stale_revision_ = 0;
+  Millis retry_within_ = 0;
 };
 
 }  // namespace opalswitch::gateway
--- a/src/module/membership.cpp
+++ b/src/module/membership.cpp
@@ -31,18 +31,18 @@
 // through the queued requests even if they have timed out. A source that goes down ends the watches of all
 // gateways at the same moment, so the next requests are spread over the whole delay. Requests that fail were
 // spread already, and keep their distance.
-Millis Policy::Impl::NextWatchRetryDelay() {
+Millis Policy::Impl::NextWatchRetryDelay(Millis retry_within) {
   watch_backoff_ =
       std::min(std::max(kInitialWatchBackoffMs, watch_backoff_ * 2), settings_.max_watch_interval / 2);
-  const Millis longest =
-      std::min(kMaxWatchRetryDelayFactor * std::max(watch_backoff_, WatchSpread()), kMaxWatchRetryDelayMs);
+  const Millis longest = std::min({kMaxWatchRetryDelayFactor * std::max(watch_backoff_, WatchSpread()),
+                                   retry_within, kMaxWatchRetryDelayMs});
   const double jitter = is_watch_established_ ? 1 : kWatchRetryJitter;
   return std::max(kMinWatchRetryDelayMs, longest * (1 - jitter * Uniform()));
 }
 
 void Policy::Impl::HandleEvent(const MembershipUpdate& update) {
   if (update.kind == MembershipUpdate::Kind::kFailed) {
-    next_watch_at_ = now_ + NextWatchRetryDelay();
+    next_watch_at_ = now_ + NextWatchRetryDelay(update.retry_within);
     return;
   }
   watch_backoff_ = 0;
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -166,6 +166,29 @@
   EXPECT_FALSE(schedule.RecordSuccess(5000, false));
 }
 
+// Guards servers that are removed during an outage against new work after it: the time that a call takes to
+// fail is a part of the interval between calls, also for callers without a retry policy of their own.
+TEST(WatchSchedule, CallsAfterAFailureStartWithinTheRetryInterval) {
+  constexpr Millis kShortestRetryDelay = 20;
+  std::mt19937 random(7);
+  const auto uniform = [&random] { return std::uniform_real_distribution(0.0, 1.0)(random); };
+  for (int outage = 0; outage < 200; ++outage) {
+    WatchSchedule schedule(41);
+    schedule.BeginCall(uniform());
+    schedule.RecordFailure(WatchFailure::kClosed, 7000 * uniform(), "");
+    EXPECT_LE(schedule.RetryDelay(uniform()), schedule.times().max_retry_interval);
+    for (int failures = 2; failures < 30; ++failures) {
+      schedule.BeginCall(uniform());
+      const bool is_timeout = random() % 2 == 0;
+      const Millis elapsed = schedule.ResponseTimeout() * (is_timeout ? 1 : uniform());
+      schedule.RecordFailure(is_timeout ? WatchFailure::kTimeout : WatchFailure::kErrorStatus, elapsed, "");
+      ASSERT_LE(elapsed + schedule.RetryWithin(), schedule.times().max_retry_interval);
+      ASSERT_LE(elapsed + schedule.RetryDelay(uniform()),
+                schedule.times().max_retry_interval + kShortestRetryDelay);
+    }
+  }
+}
+
 // Under any sequence of results all times stay in their bounds, and only complete lists lower the revision.
 TEST(WatchSchedule, TimesStayInBoundsUnderRandomResults) {
   std::mt19937 random(11);
@@ -201,7 +224,7 @@
   explicit DiscoveryFixture(const WatchTimes& times = ShortTimes())
       : discovery(io, peer.address(), 41,
                   {[this](const HostList& list) { updates.push_back(list); },
-                   [this] {
+                   [this](Millis) {
                      ++failures;
                      asio::post(io, [this] { discovery.Watch(); });
                    },
@@ -215,7 +238,7 @@
     WatchTimes times;
     times.mean_wait = 200;
     times.response_timeout = 300;
-    times.mean_recovery_wait = times.body_timeout = 600000;
+    times.mean_recovery_wait = times.body_timeout = times.max_retry_interval = 600000;
     times.min_call_interval = 0;
     return times;
   }
@@ -258,7 +281,7 @@
 WatchTimes LongTimes() {
   WatchTimes times;
   times.mean_wait = times.mean_recovery_wait = times.response_timeout = times.max_response_timeout =
-      times.body_timeout = 600000;
+      times.body_timeout = times.max_retry_interval = 600000;
   return times;
 }
 
--- a/tests/membership_deadline_test.cpp
+++ b/tests/membership_deadline_test.cpp
@@ -24,6 +24,8 @@
 
 // A change counts as known at the latest this long after discovery has it and can be reached.
 constexpr milliseconds kKnownAfterReachable(6000);
+// The same after the end of the wait of a watch that has fallen silent.
+constexpr milliseconds kKnownAfterSilentWait(2000);
 // The same after SIGHUP with a new address.
 constexpr milliseconds kKnownAfterAddressChange(4000);
 constexpr milliseconds kDrainGrace(550);     // 500, and 50 on sockets
@@ -86,6 +88,7 @@
   std::unique_ptr<GatewayProcess> process;
   // The last moment for new work to h0; unset as long as nothing has removed it.
   std::optional<SteadyTime> deadline;
+  SteadyTime silent_since;  // for scripts
 
  private:
   void SendLater() {
@@ -138,6 +141,13 @@
     gateway.deadline = std::chrono::steady_clock::now() + known_after + kDrainGrace + kMeasuringSlack;
   }
 
+  // The same for a change that comes while a watch is silent, from its start on: it counts as known 6 s after
+  // the watch fell silent, or 2 s after its wait, whichever is later.
+  void RemoveFirstHostDuringSilentWatch(WatchedGateway& gateway) {
+    RemoveFirstHost(gateway,
+                    std::max(kKnownAfterReachable, gateway.discovery.last_wait() + kKnownAfterSilentWait));
+  }
+
   // Runs until each gateway has had the newest list for longer than the grace.
   void RunUntilAllKnow() {
     const auto end = std::chrono::steady_clock::now() + kMaxTestTime;
@@ -150,20 +160,30 @@
     }
   }
 
-  // No gateway has sent to h0 after its deadline, or later than the grace after it was sent the list.
-  void ExpectNoLateRequests() {
+  // No gateway has sent to h0 after its deadline.
+  void ExpectNoRequestsAfterDeadline() {
     for (const auto& gateway : gateways) {
       SCOPED_TRACE(gateway->name + "\n" + gateway->process->process().StandardError());
       EXPECT_TRUE(hosts[1]->last_request_at.contains(gateway->name)) << "no traffic";
       ASSERT_TRUE(gateway->deadline) << "discovery was not called often enough";
-      const SteadyTime last = hosts[0]->last_request_at[gateway->name];
-      EXPECT_LE(MillisBetween(*gateway->deadline, last), 0) << "ms after the deadline";
+      EXPECT_LE(MillisBetween(*gateway->deadline, hosts[0]->last_request_at[gateway->name]), 0)
+          << "ms after the deadline";
+    }
+  }
+
+  // The same, and none later than the grace after it was sent the list.
+  void ExpectNoLateRequests() {
+    ExpectNoRequestsAfterDeadline();
+    for (const auto& gateway : gateways) {
       const auto written_at = gateway->discovery.newest_written_at();
-      ASSERT_TRUE(written_at) << "the list was never asked for";
-      EXPECT_LE(last, *written_at + kDrainGrace + kMeasuringSlack) << "after the list was sent";
+      ASSERT_TRUE(written_at) << gateway->name << ": the list was never asked for";
+      EXPECT_LE(MillisBetween(*written_at, hosts[0]->last_request_at[gateway->name]),
+                InMillis(kDrainGrace + kMeasuringSlack))
+          << gateway->name << ": ms after the list was sent";
     }
   }
 
+  static double InMillis(milliseconds duration) { return static_cast<double>(duration.count()); }
   static double MillisBetween(SteadyTime from, SteadyTime to) {
     return std::chrono::duration<double, std::milli>(to - from).count();
   }
@@ -188,5 +208,103 @@
   ExpectNoLateRequests();
 }
 
+// Guards the same against a call that is never answered: the time until it is given up is a part of the delay
+// between calls.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterACallThatIsNeverAnswered) {
+  constexpr int kSilentCall = 2;
+  Start(12, SettingsFor(181), [this](WatchedGateway& gateway) {
+    gateway.discovery.react = [this, &gateway](int call) {
+      // Discovery is back, but not for the call that it has lost.
+      if (call == kSilentCall) RemoveFirstHost(gateway, kKnownAfterReachable);
+      if (call == kSilentCall) return Reaction::kStaySilent;
+      return call < kSilentCall ? Reaction::kReset : Reaction::kServe;
+    };
+  });
+  RunUntilAllKnow();
+  ExpectNoLateRequests();
+}
+
+// Guards the same against calls that wait in the queue of a crowded discovery, and fail in it.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterACallThatFailsInTheQueue) {
+  constexpr int kQueuedCall = 2;
+  Start(12, SettingsFor(181), [this](WatchedGateway& gateway) {
+    gateway.discovery.react = [this, &gateway](int call) {
+      gateway.discovery.delay = milliseconds(call == kQueuedCall ? 1500 : 5);
+      if (call == kQueuedCall) RemoveFirstHost(gateway, kKnownAfterReachable);
+      if (call == kQueuedCall) return Reaction::kErrorStatus;
+      return call < kQueuedCall ? Reaction::kReset : Reaction::kServe;
+    };
+  });
+  RunUntilAllKnow();
+  ExpectNoLateRequests();
+}
+
+// Guards servers that are removed while a watch is silent: the failed call behind it must not use up the time
+// that is left.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterASilentWatchAndFailedCalls) {
+  constexpr int kFailedCalls = 3;
+  Start(12, SettingsFor(181), [this](WatchedGateway& gateway) {
+    gateway.discovery.react = [this, &gateway](int call) {
+      if (call == 1) RemoveFirstHostDuringSilentWatch(gateway);
+      if (call == 1) return Reaction::kStaySilent;
+      return call <= kFailedCalls ? Reaction::kReset : Reaction::kServe;
+    };
+  });
+  RunUntilAllKnow();
+  ExpectNoLateRequests();
+}
+
+// Guards servers that the list at a new address of discovery does not name: the time for that list is
+// shorter.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterDiscoveryHasMovedAndFailedCalls) {
+  constexpr int kFailedCalls = 3;
+  std::vector<std::unique_ptr<DiscoveryService>> moved;
+  Start(12, SettingsFor(181), [&](WatchedGateway& gateway) {
+    DiscoveryService& next = *moved.emplace_back(std::make_unique<DiscoveryService>(io));
+    next.Publish({Member("h1", hosts[1]->peer.address())});
+    next.react = [](int call) { return call <= kFailedCalls ? Reaction::kReset : Reaction::kServe; };
+    gateway.discovery.react = [&](int) {
+      gateway.process->MoveDiscovery(next.address());
+      RemoveFirstHost(gateway, kKnownAfterAddressChange);
+      return Reaction::kServe;
+    };
+  });
+  const auto all_know = [&] {
+    return std::all_of(moved.begin(), moved.end(), [](const auto& next) {
+      return next->newest_written_at() &&
+             std::chrono::steady_clock::now() > *next->newest_written_at() + kDrainGrace + kMeasuringSlack;
+    });
+  };
+  EXPECT_TRUE(RunUntil(io, all_know));
+  ExpectNoRequestsAfterDeadline();
+}
+
+// Guards servers that are removed while discovery is down and the agent that pushes lists is silent: what the
+// agent gets when discovery is back counts as known at once.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterTheAgentWasSilent) {
+  constexpr milliseconds kKnownAtOnce(0);
+  constexpr int kFirstSilentCall = 3;
+  constexpr milliseconds kSilence(6000);
+  for (const bool serves_open_calls : {false, true}) {
+    hosts.clear();
+    gateways.clear();
+    Start(6, SettingsFor(181, "push"), [&](WatchedGateway& gateway) {
+      gateway.discovery.delay = milliseconds(1);
+      gateway.discovery.react = [&, serves_open_calls](int call) {
+        if (call < kFirstSilentCall || gateway.deadline) return Reaction::kServe;
+        const SteadyTime now = std::chrono::steady_clock::now();
+        if (call == kFirstSilentCall) gateway.silent_since = now;
+        if (now < gateway.silent_since + kSilence) return Reaction::kServeOnReturn;
+        // The agent is back just after the gateway has made a call, which it answers or has lost.
+        RemoveFirstHost(gateway, kKnownAtOnce);
+        if (serves_open_calls) gateway.discovery.AnswerSilentCalls();
+        return serves_open_calls ? Reaction::kServe : Reaction::kStaySilent;
+      };
+    });
+    RunUntilAllKnow();
+    ExpectNoRequestsAfterDeadline();
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
--- a/tests/standins/discovery_service.hpp
+++ b/tests/standins/discovery_service.hpp
@@ -53,6 +53,8 @@
   std::chrono::milliseconds delay{5};  // before each response or failure
 
   int calls() const { return calls_; }
+  // How long the last call asked to wait for news.
+  std::chrono::milliseconds last_wait() const { return last_wait_; }
   int revision() const { return revision_; }
   // The connections of all calls so far, in the order of their acceptance.
   const auto& connections() const { return peer_.connections; }
@@ -69,6 +71,7 @@
 
   void OnCall(const Peer::ReceivedRequest& call) {
     ++calls_;
+    last_wait_ = WaitOf(call);
     const Reaction reaction = react ? react(calls_) : Reaction::kServe;
     switch (reaction) {
       case Reaction::kServe: return OnServedCall(call);
@@ -88,7 +91,7 @@
   void OnServedCall(const Peer::ReceivedRequest& call) {
     if (RevisionKnownTo(call) < revision_) return Answer(call);
     watches_.push_back(call);
-    After(std::chrono::milliseconds(Parameter(call, "wait_ms=").value_or(0)), [this, call] {
+    After(WaitOf(call), [this, call] {
       const auto is_this = [&](const auto& watch) { return watch.connection == call.connection; };
       if (std::erase_if(watches_, is_this) > 0) Answer(call);
     });
@@ -116,6 +119,9 @@
     if (at == std::string::npos) return std::nullopt;
     return std::atoi(target.c_str() + at + name.size());
   }
+  static std::chrono::milliseconds WaitOf(const Peer::ReceivedRequest& call) {
+    return std::chrono::milliseconds(Parameter(call, "wait_ms=").value_or(0));
+  }
   // 0 if the whole list is asked for.
   static int RevisionKnownTo(const Peer::ReceivedRequest& call) {
     return Parameter(call, "after=").value_or(0);
@@ -131,6 +137,7 @@
   Peer peer_;
   std::map<std::string, Entry> members_;
   std::vector<Peer::ReceivedRequest> watches_, silent_calls_;
+  std::chrono::milliseconds last_wait_{0};
   int calls_ = 0, revision_ = 0, written_revision_ = 0;
   std::optional<SteadyTime> written_at_;
 };
