A list that is overdue is asked for again at short intervals after a failed call

Cause: the delay to the next call did not count what the silent watch had used up of the time (6 s, or 2 s after the wait), nor that the time after a change of the address is 4 s. Change: after a silent watch, a broken response or a change of the address the next four calls that fail are followed by another within 100, 200, 400 and 800 ms, or after as long as they took to fail, so that a crowded or dead discovery gets few of them and not in a row. The test of the moved discovery now leaves the first call unanswered at every other gateway, too.

--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -12,6 +12,10 @@
 // Consecutive failures up to which truncated and malformed responses are retried without delay.
 constexpr int kMaxImmediateRetries = 4;
 constexpr double kQueueDelaySmoothingFactor = 0.3;
+// Calls that are repeated at short intervals while a list is overdue, and the first of these intervals, which
+// doubles. They are few, so that a discovery service that is down for all gateways gets few of them.
+constexpr int kMaxOverdueRetries = 4;
+constexpr Millis kInitialOverdueRetryDelayMs = 100;
 constexpr Millis kMinRetryDelayMs = 20;  // keeps failed calls from following one another without a pause
 // Keeps the exponent in range; every delay has reached its bound by then.
 constexpr int kMaxDoublings = 16;
@@ -104,9 +108,18 @@
                                                         const std::string& detail) {
   consecutive_timeouts_ = failure == WatchFailure::kTimeout ? consecutive_timeouts_ + 1 : 0;
   retry_within_ = RetryWithinAfter(failure, elapsed);
+  const bool is_silent_watch = consecutive_failures_ == 0 && failure == WatchFailure::kTimeout;
+  const bool is_broken_response = failure == WatchFailure::kTruncated || failure == WatchFailure::kMalformed;
+  is_overdue_ = is_overdue_ || is_silent_watch || is_broken_response;
   // An error that comes quickly means that discovery is down, and says nothing about its queue.
   if (failure == WatchFailure::kErrorStatus) UpdateQueueDelay(std::max(queue_delay_, elapsed));
-  if (consecutive_failures_++ > 0) return std::nullopt;
+  const bool is_first = consecutive_failures_++ == 0;
+  if (is_overdue_ && !ShouldRetryImmediately(failure) && overdue_retries_ < kMaxOverdueRetries) {
+    // A call that took long to fail may have been queued, and is not followed at once by another.
+    const Millis delay = ExponentialDelay(kInitialOverdueRetryDelayMs, overdue_retries_++, retry_within_);
+    retry_within_ = std::min(retry_within_, std::max(delay, elapsed));
+  }
+  if (!is_first) return std::nullopt;
   std::string line = std::string("discovery ") + DescribeFailure(failure);
   if (!detail.empty()) line += " (" + detail + ")";
   return line + (revision_ ? "; the last good list, revision " + std::to_string(*revision_) + ", stays"
@@ -120,7 +133,8 @@
   if (!has_hosts && wait_ > 0) UpdateQueueDelay(elapsed - wait_);
   if (has_hosts) UpdateQueueDelay(consecutive_failures_ > 0 ? elapsed : std::min(elapsed, queue_delay_));
   const int failures = consecutive_failures_;
-  consecutive_failures_ = consecutive_timeouts_ = 0;
+  consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = 0;
+  is_overdue_ = false;
   if (failures == 0) return std::nullopt;
   return "discovery answers again after " + std::to_string(failures) +
          (failures == 1 ? " failed call" : " failed calls") + "; revision " +
@@ -129,7 +143,8 @@
 
 void WatchSchedule::Reset() {
   revision_.reset();
-  consecutive_failures_ = consecutive_timeouts_ = stale_lists_ = 0;
+  consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = stale_lists_ = 0;
+  is_overdue_ = true;
   queue_delay_ = 0;
 }
 
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -114,7 +114,7 @@
   int consecutive_failures() const { return consecutive_failures_; }
 
  private:
-  // RetryWithin() after a call that fails `elapsed` ms after it was sent.
+  // RetryWithin() after a call that fails `elapsed` ms after it was sent, unless a list is overdue.
   Millis RetryWithinAfter(WatchFailure failure, Millis elapsed) const;
   // Adds a sample to the EWMA; negative ones count as 0.
   void UpdateQueueDelay(Millis sample);
@@ -127,6 +127,10 @@
   int stale_lists_ = 0;  // consecutive complete lists with a revision below revision_
   std::int64_t stale_revision_ = 0;
   Millis retry_within_ = 0;
+  // Changes may have been missed, and count as known soon: a watch was silent, a response was broken off, or
+  // the address has changed. The next calls after a failure are then made at short intervals.
+  bool is_overdue_ = false;
+  int overdue_retries_ = 0;
 };
 
 }  // namespace opalswitch::gateway
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -166,6 +166,33 @@
   EXPECT_FALSE(schedule.RecordSuccess(5000, false));
 }
 
+// Guards against a list that is overdue and asked for late: a silent watch has used up its time, and the time
+// after a change of the address is short. Such calls are few, and slower where they fail slowly.
+TEST(WatchSchedule, OverdueListIsAskedForAtShortGrowingIntervalsAFewTimes) {
+  WatchSchedule schedule(41);
+  schedule.BeginCall(0.5);
+  schedule.RecordFailure(WatchFailure::kTimeout, schedule.ResponseTimeout(), "");
+  ASSERT_TRUE(schedule.ShouldRetryImmediately(WatchFailure::kTimeout));
+  const auto expect_short_intervals = [&schedule] {
+    for (const Millis expected : {100, 200, 400, 800}) {
+      schedule.RecordFailure(WatchFailure::kClosed, 1, "");
+      EXPECT_EQ(schedule.RetryWithin(), expected);
+    }
+    schedule.RecordFailure(WatchFailure::kClosed, 1, "");
+    EXPECT_GT(schedule.RetryWithin(), 4000);
+  };
+  expect_short_intervals();
+  schedule.Reset();
+  expect_short_intervals();
+  schedule.Reset();
+  schedule.RecordFailure(WatchFailure::kErrorStatus, 1500, "503");
+  schedule.RecordFailure(WatchFailure::kErrorStatus, 1500, "503");
+  EXPECT_EQ(schedule.RetryWithin(), 1500);
+  schedule.RecordSuccess(100, true);
+  schedule.RecordFailure(WatchFailure::kClosed, 3000, "");
+  EXPECT_GT(schedule.RetryWithin(), 4000);  // discovery has ended the watch, so nothing is missed
+}
+
 // Guards servers that are removed during an outage against new work after it: the time that a call takes to
 // fail is a part of the interval between calls, also for callers without a retry policy of their own.
 TEST(WatchSchedule, CallsAfterAFailureStartWithinTheRetryInterval) {
--- a/tests/membership_deadline_test.cpp
+++ b/tests/membership_deadline_test.cpp
@@ -255,14 +255,18 @@
 }
 
 // Guards servers that the list at a new address of discovery does not name: the time for that list is
-// shorter.
+// shorter. At every other gateway the first call is never answered.
 TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterDiscoveryHasMovedAndFailedCalls) {
   constexpr int kFailedCalls = 3;
   std::vector<std::unique_ptr<DiscoveryService>> moved;
   Start(12, SettingsFor(181), [&](WatchedGateway& gateway) {
     DiscoveryService& next = *moved.emplace_back(std::make_unique<DiscoveryService>(io));
     next.Publish({Member("h1", hosts[1]->peer.address())});
-    next.react = [](int call) { return call <= kFailedCalls ? Reaction::kReset : Reaction::kServe; };
+    const bool is_silent_first = moved.size() % 2 == 0;
+    next.react = [is_silent_first](int call) {
+      if (call == 1 && is_silent_first) return Reaction::kStaySilent;
+      return call <= kFailedCalls ? Reaction::kReset : Reaction::kServe;
+    };
     gateway.discovery.react = [&](int) {
       gateway.process->MoveDiscovery(next.address());
       RemoveFirstHost(gateway, kKnownAfterAddressChange);
