Pushed lists: a silent agent is asked again within 0.35 s

What callers saw: with pushed lists, what the agent gets when discovery is back counts as told at once, but the gateway asked again up to 8 s later: waits of up to 7.5 s and delays of up to 4.75 s were made for a discovery service that all gateways share. Change: WatchTimes::ForPushedLists. The agent is on the gateway's machine and answers at no cost, so a call waits 75 to 225 ms, times out 75 ms later and is repeated within 75 ms. Where an agent sends its whole list without news the wait doubles, up to 5 s. Empty answers no longer go through all hosts of the pool.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,7 +42,7 @@
                   [](const EndedCall& call) {
                     if (IsNotable(call)) WriteLogLine(FormatEndedCall(call));
                   }},
-                 config.seed),
+                 config.seed, settings_.requires_watch ? WatchTimes() : WatchTimes::ForPushedLists()),
       http_server_(io, HttpServerLimitsFor(config.sockets, config.memory_mb),
                    {[this] { return pool_->has_hosts() && !stop_.has_begun(); },
                     [this, classes = ClassEffectsOf(config.settings)](
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -123,10 +123,12 @@
 }
 
 void Pool::UpdateMembership(const HostList& list) {
-  // Before the module reacts: it must not send to a host that is gone.
-  const HostChanges changes = host_pool_.Update(list);
-  if (!changes.IsEmpty())
-    Execute(Log{FormatHostChanges(Now(), list.revision, host_pool_.host_count(), changes)});
+  if (list.complete || !list.hosts.empty()) {
+    // Before the module reacts: it must not send to a host that is gone.
+    const HostChanges changes = host_pool_.Update(list);
+    if (!changes.IsEmpty())
+      Execute(Log{FormatHostChanges(Now(), list.revision, host_pool_.host_count(), changes)});
+  }
   has_hosts_ = has_hosts_ || !list.hosts.empty();
   HandleEvent(ToMembershipUpdate(list));
 }
--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -40,6 +40,18 @@
 
 }  // namespace
 
+WatchTimes WatchTimes::ForPushedLists() {
+  WatchTimes times;
+  times.mean_wait = 150;
+  times.mean_recovery_wait = 50;
+  times.response_timeout = 75;
+  times.max_response_timeout = 150;
+  times.connect_timeout = 200;
+  times.initial_retry_delay = times.max_retry_delay = 50;
+  times.max_retry_interval = 250;
+  return times;
+}
+
 WatchSchedule::WatchSchedule(std::optional<std::int64_t> revision, const WatchTimes& times)
     : times_(times), revision_(revision) {}
 
@@ -48,8 +60,11 @@
   // revisions.
   wait_ = 0;
   if (!revision_ || stale_lists_ > 0) return "/discovery/hosts";
-  wait_ = std::floor((consecutive_failures_ > 0 ? times_.mean_recovery_wait : times_.mean_wait) *
-                     (0.5 + uniform));
+  const Millis mean_wait = consecutive_failures_ > 0
+                               ? times_.mean_recovery_wait
+                               : ExponentialDelay(times_.mean_wait, lists_without_news_,
+                                                  std::max(times_.mean_wait, WatchTimes().mean_wait));
+  wait_ = std::floor(mean_wait * (0.5 + uniform));
   return "/discovery/hosts?after=" + std::to_string(*revision_) +
          "&wait_ms=" + std::to_string(static_cast<int>(wait_));
 }
@@ -96,6 +111,7 @@
     if (stale_lists_ < kResetConfirmations) return false;
   }
   stale_lists_ = 0;
+  lists_without_news_ = list.complete && revision_ == list.revision ? lists_without_news_ + 1 : 0;
   revision_ = list.revision;
   return true;
 }
@@ -143,7 +159,7 @@
 
 void WatchSchedule::Reset() {
   revision_.reset();
-  consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = stale_lists_ = 0;
+  consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = stale_lists_ = lists_without_news_ = 0;
   is_overdue_ = true;
   queue_delay_ = 0;
 }
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -47,6 +47,11 @@
   // From the start of a call that fails to the start of the next one, unless it was a watch that discovery
   // ended. Also the longest time-out of a call after a failed one.
   Millis max_retry_interval = kMaxWatchRetryDelayMs;
+
+  // For lists that are pushed to an agent on the gateway's own machine, which answers at once and at no cost.
+  // A change counts as known as soon as the agent has it, so an agent that was silent must be noticed within
+  // the grace of 500 ms, less 150 ms for which the gateway may be held up.
+  static WatchTimes ForPushedLists();
 };
 
 // Why a call failed.
@@ -67,7 +72,8 @@
 
   // Starts a call and returns its path and query. `uniform` is a random number in [0, 1), here and in the
   // other functions. It sets the wait to between 0.5 and 1.5 times the mean, so that gateways that started
-  // together soon call at different times.
+  // together soon call at different times. The mean doubles with each complete list that brings no news, up
+  // to that of WatchTimes().
   std::string BeginCall(double uniform);
 
   // Time-out from sending the request to the response's header: the wait, plus an allowance for queueing and
@@ -131,6 +137,7 @@
   // the address has changed. The next calls after a failure are then made at short intervals.
   bool is_overdue_ = false;
   int overdue_retries_ = 0;
+  int lists_without_news_ = 0;  // consecutive complete lists with the revision already known
 };
 
 }  // namespace opalswitch::gateway
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -166,6 +166,38 @@
   EXPECT_FALSE(schedule.RecordSuccess(5000, false));
 }
 
+// Guards the grace of a drain where lists are pushed: whatever fails, a silent agent must be asked again
+// soon.
+TEST(WatchSchedule, SilentAgentOfPushedListsIsAskedAgainWithinTheGrace) {
+  constexpr Millis kGrace = 500, kHeldUpFor = 150;
+  std::mt19937 random(5);
+  const auto uniform = [&random] { return std::uniform_real_distribution(0.0, 1.0)(random); };
+  for (int outage = 0; outage < 200; ++outage) {
+    WatchSchedule schedule(41, WatchTimes::ForPushedLists());
+    for (int failures = 1; failures < 30; ++failures) {
+      schedule.BeginCall(uniform());
+      const bool is_timeout = random() % 2 == 0;
+      const WatchFailure failure = is_timeout ? WatchFailure::kTimeout : WatchFailure::kConnectFailed;
+      const Millis elapsed = is_timeout ? schedule.ResponseTimeout() : schedule.times().connect_timeout;
+      schedule.RecordFailure(failure, elapsed, "");
+      const Millis delay = schedule.ShouldRetryImmediately(failure) ? 0 : schedule.RetryDelay(uniform());
+      ASSERT_LE(elapsed + delay, kGrace - kHeldUpFor);
+    }
+  }
+}
+
+// Guards the gateway's processor time against a service that sends its whole list at the end of each wait.
+TEST(WatchSchedule, WaitGrowsWithCompleteListsWithoutNews) {
+  WatchSchedule schedule(41, WatchTimes::ForPushedLists());
+  EXPECT_EQ(schedule.BeginCall(0.5), "/discovery/hosts?after=41&wait_ms=150");
+  EXPECT_TRUE(schedule.AcceptList(CompleteList(41)));
+  EXPECT_EQ(schedule.BeginCall(0.5), "/discovery/hosts?after=41&wait_ms=300");
+  for (int i = 0; i < 10; ++i) EXPECT_TRUE(schedule.AcceptList(CompleteList(41)));
+  EXPECT_EQ(schedule.BeginCall(0.5), "/discovery/hosts?after=41&wait_ms=5000");
+  EXPECT_TRUE(schedule.AcceptList(DeltaList(41)));
+  EXPECT_EQ(schedule.BeginCall(0.5), "/discovery/hosts?after=41&wait_ms=150");
+}
+
 // Guards against a list that is overdue and asked for late: a silent watch has used up its time, and the time
 // after a change of the address is short. Such calls are few, and slower where they fail slowly.
 TEST(WatchSchedule, OverdueListIsAskedForAtShortGrowingIntervalsAFewTimes) {
