A crowded discovery is called less often, and calls after a failure wait longer for it

Change: after two refusals (503) that came after 0.5 s and more, the next call comes 4.75 to 7.1 s after the failure; by then the 6 s of the rule are over in any case. Quick refusals, resets and silence are no crowd. RetryWindow hands both bounds to the module. As the next call starts 4.75 s after the failed one at the latest, a call after a failure waits 1.95 to 4.65 s instead of 1.6 to 3.6 s for its answer, and one for the whole list 3.25 s.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -147,13 +147,19 @@
 // itself.
 inline constexpr Millis kMaxWatchRetryDelayMs = 4750;
 
+// When the next membership request after a failed one may start, counted from the failure.
+struct RetryWindow {
+  Millis earliest = 0;
+  Millis latest = kMaxWatchRetryDelayMs;
+};
+
 // A change of the server list. kFull replaces the list; kDelta adds or updates only the servers it contains.
 // kFailed reports that the membership source failed: it carries no servers and the last list stays in effect.
 struct MembershipUpdate {
   enum class Kind { kFull, kDelta, kFailed };
   Kind kind = Kind::kFull;
   std::vector<Server> servers;
-  Millis retry_within = kMaxWatchRetryDelayMs;  // kFailed only: the next Watch has to come within this time
+  RetryWindow retry = {};  // of the next Watch; kFailed only
 };
 
 using Event = std::variant<Request, StreamStarted, Outcome, ClientGone, TimerDue, MembershipUpdate>;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,7 +38,7 @@
                             [this] { discovery_.Watch(); }})),
       discovery_(io, config.discovery, config.known.revision,
                  {[this](const HostList& list) { pool_->UpdateMembership(list); },
-                  [this](Millis retry_within) { OnMembershipUpdateFailed(retry_within); }, WriteLogLine,
+                  [this](const RetryWindow& retry) { OnMembershipUpdateFailed(retry); }, WriteLogLine,
                   [](const EndedCall& call) {
                     if (IsNotable(call)) WriteLogLine(FormatEndedCall(call));
                   }},
@@ -61,8 +61,8 @@
 
 void Gateway::Reload(const Config& config) { discovery_.SetAddress(config.discovery); }
 
-void Gateway::OnMembershipUpdateFailed(Millis retry_within) {
-  pool_->MembershipUpdateFailed(retry_within);
+void Gateway::OnMembershipUpdateFailed(const RetryWindow& retry) {
+  pool_->MembershipUpdateFailed(retry);
   if (settings_.requires_watch) return;  // the module requests the next watch itself
   discovery_.WatchAfterDelay();
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -34,7 +34,7 @@
 
  private:
   // Passes a failed watch on to the pool, and retries it unless the module requests its watches itself.
-  void OnMembershipUpdateFailed(Millis retry_within);
+  void OnMembershipUpdateFailed(const RetryWindow& retry);
 
   const Settings settings_;
   const std::shared_ptr<Pool> pool_;
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -357,8 +357,8 @@
   }
 }
 
-void Pool::MembershipUpdateFailed(Millis retry_within) {
-  HandleEvent(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}, retry_within});
+void Pool::MembershipUpdateFailed(const RetryWindow& retry) {
+  HandleEvent(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}, retry});
 }
 
 void Pool::ClientDisconnected(const std::string& id) {
--- a/src/gateway/pool.hpp
+++ b/src/gateway/pool.hpp
@@ -47,9 +47,9 @@
   // Applies a full or partial host list. Takes effect immediately: a host that is no longer up gets no
   // further requests.
   void UpdateMembership(const HostList& list);
-  // Reports that the source could not deliver a list, and within which time it has to be asked again; the
-  // last list stays in use.
-  void MembershipUpdateFailed(Millis retry_within = kMaxWatchRetryDelayMs);
+  // Reports that the source could not deliver a list, and when to ask it again; the last list
+  // stays in use.
+  void MembershipUpdateFailed(const RetryWindow& retry = {});
   bool has_hosts() const { return has_hosts_; }  // a list with at least one host has been received
 
   // Answers all unanswered requests with a failure.
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -167,7 +167,7 @@
   ReportEnd(*call, failure, detail, schedule_.consecutive_failures(), nullptr);
   if (schedule_.ShouldRetryImmediately(failure)) return StartCall();
   is_watching_ = false;
-  handlers_.on_failure(schedule_.RetryWithin());
+  handlers_.on_failure(schedule_.Retry());
 }
 
 void Discovery::Log(const std::optional<std::string>& line) const {
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -25,8 +25,8 @@
  public:
   struct Handlers {
     std::function<void(HostList)> on_update;
-    // The watch has ended; call Watch() or WatchAfterDelay() to start a new one within this time.
-    std::function<void(Millis retry_within)> on_failure;
+    // The watch has ended; call Watch() or WatchAfterDelay() to start a new one in this window.
+    std::function<void(const RetryWindow& retry)> on_failure;
     std::function<void(const std::string&)> on_log = {};  // one line for the log; may be null
     std::function<void(const EndedCall&)> on_call_ended =
         {};  // each call that was not abandoned; may be null
--- a/src/membership/host_source.cpp
+++ b/src/membership/host_source.cpp
@@ -95,7 +95,7 @@
     : handlers_(std::move(handlers)),
       discovery_(io, address, std::nullopt,
                  {[this](const HostList& list) { handlers_.on_update(list); },
-                  [this](Millis) {
+                  [this](const RetryWindow&) {
                     discovery_.WatchAfterDelay();
                     handlers_.on_failure();
                   },
--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -16,6 +16,13 @@
 // doubles. They are few, so that a discovery service that is down for all gateways gets few of them.
 constexpr int kMaxOverdueRetries = 4;
 constexpr Millis kInitialOverdueRetryDelayMs = 100;
+// A call that is refused after this time was queued at discovery. After several of them discovery is taken to
+// have more calls than it can answer: it works through calls that have timed out, too, so more calls would
+// leave it time for none. The time at which a change counts as known has passed by then.
+constexpr Millis kSlowRefusalMs = 500;
+constexpr int kSlowRefusalsOfCrowd = 2;
+// The next call then comes after max_retry_interval to this multiple of it, from the failure on.
+constexpr double kCrowdedRetryFactor = 1.5;
 constexpr Millis kMinRetryDelayMs = 20;  // keeps failed calls from following one another without a pause
 // Keeps the exponent in range; every delay has reached its bound by then.
 constexpr int kMaxDoublings = 16;
@@ -92,15 +99,19 @@
   const Millis delay =
       ExponentialDelay(times_.initial_retry_delay, consecutive_failures_ - 1, times_.max_retry_delay) *
       (0.5 + uniform);
-  return std::max(kMinRetryDelayMs, std::min(delay, retry_within_));
+  return std::max(kMinRetryDelayMs, std::min(delay, retry_.latest));
 }
 
-Millis WatchSchedule::RetryWithinAfter(WatchFailure failure, Millis elapsed) const {
+bool WatchSchedule::IsCrowded() const { return slow_refusals_ >= kSlowRefusalsOfCrowd; }
+
+RetryWindow WatchSchedule::RetryAfter(WatchFailure failure, Millis elapsed) const {
   // A watch that discovery ends has delivered all changes up to then. Any other call has missed those that
   // came while it was out.
   const bool is_ended_watch = consecutive_failures_ == 0 &&
                               (failure == WatchFailure::kClosed || failure == WatchFailure::kErrorStatus);
-  return is_ended_watch ? times_.max_retry_interval : std::max(0.0, times_.max_retry_interval - elapsed);
+  if (is_ended_watch) return {0, times_.max_retry_interval};
+  if (IsCrowded()) return {times_.max_retry_interval, kCrowdedRetryFactor * times_.max_retry_interval};
+  return {0, std::max(0.0, times_.max_retry_interval - elapsed)};
 }
 
 bool WatchSchedule::AcceptList(const HostList& list) {
@@ -123,17 +134,19 @@
 std::optional<std::string> WatchSchedule::RecordFailure(WatchFailure failure, Millis elapsed,
                                                         const std::string& detail) {
   consecutive_timeouts_ = failure == WatchFailure::kTimeout ? consecutive_timeouts_ + 1 : 0;
-  retry_within_ = RetryWithinAfter(failure, elapsed);
+  if (failure == WatchFailure::kErrorStatus && elapsed >= kSlowRefusalMs) ++slow_refusals_;
+  retry_ = RetryAfter(failure, elapsed);
   const bool is_silent_watch = consecutive_failures_ == 0 && failure == WatchFailure::kTimeout;
   const bool is_broken_response = failure == WatchFailure::kTruncated || failure == WatchFailure::kMalformed;
   is_overdue_ = is_overdue_ || is_silent_watch || is_broken_response;
   // An error that comes quickly means that discovery is down, and says nothing about its queue.
   if (failure == WatchFailure::kErrorStatus) UpdateQueueDelay(std::max(queue_delay_, elapsed));
   const bool is_first = consecutive_failures_++ == 0;
-  if (is_overdue_ && !ShouldRetryImmediately(failure) && overdue_retries_ < kMaxOverdueRetries) {
+  if (is_overdue_ && !IsCrowded() && !ShouldRetryImmediately(failure) &&
+      overdue_retries_ < kMaxOverdueRetries) {
     // A call that took long to fail may have been queued, and is not followed at once by another.
-    const Millis delay = ExponentialDelay(kInitialOverdueRetryDelayMs, overdue_retries_++, retry_within_);
-    retry_within_ = std::min(retry_within_, std::max(delay, elapsed));
+    const Millis delay = ExponentialDelay(kInitialOverdueRetryDelayMs, overdue_retries_++, retry_.latest);
+    retry_.latest = std::min(retry_.latest, std::max(delay, elapsed));
   }
   if (!is_first) return std::nullopt;
   std::string line = std::string("discovery ") + DescribeFailure(failure);
@@ -149,7 +162,7 @@
   if (!has_hosts && wait_ > 0) UpdateQueueDelay(elapsed - wait_);
   if (has_hosts) UpdateQueueDelay(consecutive_failures_ > 0 ? elapsed : std::min(elapsed, queue_delay_));
   const int failures = consecutive_failures_;
-  consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = 0;
+  consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = slow_refusals_ = 0;
   is_overdue_ = false;
   if (failures == 0) return std::nullopt;
   return "discovery answers again after " + std::to_string(failures) +
@@ -160,6 +173,7 @@
 void WatchSchedule::Reset() {
   revision_.reset();
   consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = stale_lists_ = lists_without_news_ = 0;
+  slow_refusals_ = 0;
   is_overdue_ = true;
   queue_delay_ = 0;
 }
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -26,13 +26,13 @@
   // noticed only after this time.
   Millis mean_wait = 5000;
   // The same while the last call has failed.
-  Millis mean_recovery_wait = 2000;
+  Millis mean_recovery_wait = 2700;
   // Time-out for the response, in addition to the wait and to twice the queue delay. Doubles with each
   // further consecutive time-out.
   Millis response_timeout = 600;
   // Bound on response_timeout and twice the queue delay together. Also the whole time-out of a call that asks
   // for the complete list without a wait.
-  Millis max_response_timeout = 2750;
+  Millis max_response_timeout = 3250;
   Millis connect_timeout = 1000;
   // From the response's header to the end of its body.
   Millis body_timeout = 1000;
@@ -44,8 +44,9 @@
   // Mean delay after the first failed call; doubles with each consecutive failure, up to max_retry_delay.
   Millis initial_retry_delay = 200;
   Millis max_retry_delay = 3000;
-  // From the start of a call that fails to the start of the next one, unless it was a watch that discovery
-  // ended. Also the longest time-out of a call after a failed one.
+  // From the start of a call that fails to the start of the next one; from its end if it was a watch that
+  // discovery ended. Longer while discovery seems crowded. Also the longest time-out of a call after a failed
+  // one.
   Millis max_retry_interval = kMaxWatchRetryDelayMs;
 
   // For lists that are pushed to an agent on the gateway's own machine, which answers at once and at no cost.
@@ -91,8 +92,8 @@
   // once.
   bool ShouldRetryImmediately(WatchFailure failure) const;
 
-  // Time after the last failure within which the next call has to start.
-  Millis RetryWithin() const { return retry_within_; }
+  // When the next call after the last failure may start.
+  const RetryWindow& Retry() const { return retry_; }
 
   // Delay before the next call after a failure, for callers without a retry policy of their own.
   Millis RetryDelay(double uniform) const;
@@ -120,8 +121,10 @@
   int consecutive_failures() const { return consecutive_failures_; }
 
  private:
-  // RetryWithin() after a call that fails `elapsed` ms after it was sent, unless a list is overdue.
-  Millis RetryWithinAfter(WatchFailure failure, Millis elapsed) const;
+  // Whether discovery seems to get more calls than it can answer.
+  bool IsCrowded() const;
+  // Retry() after a call that fails `elapsed` ms after it was sent, unless a list is overdue.
+  RetryWindow RetryAfter(WatchFailure failure, Millis elapsed) const;
   // Adds a sample to the EWMA; negative ones count as 0.
   void UpdateQueueDelay(Millis sample);
 
@@ -132,11 +135,12 @@
   int consecutive_failures_ = 0, consecutive_timeouts_ = 0;
   int stale_lists_ = 0;  // consecutive complete lists with a revision below revision_
   std::int64_t stale_revision_ = 0;
-  Millis retry_within_ = 0;
+  RetryWindow retry_;
   // Changes may have been missed, and count as known soon: a watch was silent, a response was broken off, or
   // the address has changed. The next calls after a failure are then made at short intervals.
   bool is_overdue_ = false;
   int overdue_retries_ = 0;
+  int slow_refusals_ = 0;       // since the last accepted list
   int lists_without_news_ = 0;  // consecutive complete lists with the revision already known
 };
 
--- a/src/module/impl.hpp
+++ b/src/module/impl.hpp
@@ -66,8 +66,8 @@
   void HandleEvent(const MembershipUpdate& update);
   // The time over which the gateways spread their membership requests.
   Millis WatchSpread() const;
-  // Counts a failed membership request and returns the delay before the next one, at most `retry_within`.
-  Millis NextWatchRetryDelay(Millis retry_within);
+  // Counts a failed membership request and returns the delay before the next one.
+  Millis NextWatchRetryDelay(const RetryWindow& window);
   // To be called after any change that ServerIndex::UpdateServer depends on.
   void UpdateServerIndex(TrackedServer& server) {
     server_index_.UpdateServer(server, now_, server.warm_up_started_at + settings_.warm_up_time);
--- a/src/module/membership.cpp
+++ b/src/module/membership.cpp
@@ -31,18 +31,19 @@
 // through the queued requests even if they have timed out. A source that goes down ends the watches of all
 // gateways at the same moment, so the next requests are spread over the whole delay. Requests that fail were
 // spread already, and keep their distance.
-Millis Policy::Impl::NextWatchRetryDelay(Millis retry_within) {
+Millis Policy::Impl::NextWatchRetryDelay(const RetryWindow& window) {
   watch_backoff_ =
       std::min(std::max(kInitialWatchBackoffMs, watch_backoff_ * 2), settings_.max_watch_interval / 2);
-  const Millis longest = std::min({kMaxWatchRetryDelayFactor * std::max(watch_backoff_, WatchSpread()),
-                                   retry_within, kMaxWatchRetryDelayMs});
+  if (window.earliest > 0) return window.earliest + (window.latest - window.earliest) * Uniform();
+  const Millis longest =
+      std::min(kMaxWatchRetryDelayFactor * std::max(watch_backoff_, WatchSpread()), window.latest);
   const double jitter = is_watch_established_ ? 1 : kWatchRetryJitter;
   return std::max(kMinWatchRetryDelayMs, longest * (1 - jitter * Uniform()));
 }
 
 void Policy::Impl::HandleEvent(const MembershipUpdate& update) {
   if (update.kind == MembershipUpdate::Kind::kFailed) {
-    next_watch_at_ = now_ + NextWatchRetryDelay(update.retry_within);
+    next_watch_at_ = now_ + NextWatchRetryDelay(update.retry);
     return;
   }
   watch_backoff_ = 0;
