--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -3,6 +3,8 @@
 #define OPALSWITCH_BASE_CLOCK_HPP_
 
 #include <chrono>
+#include <cstdio>
+#include <string>
 
 #include "opalswitch/policy.hpp"
 
@@ -25,6 +27,13 @@
   return std::chrono::microseconds(ms > 0 ? static_cast<std::int64_t>(ms * 1000) : 0);
 }
 
+// Returns a time or duration as seconds with three decimals.
+inline std::string FormatSeconds(Millis ms) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", ms / 1000);
+  return text;
+}
+
 }  // namespace opalswitch::gateway
 
 #endif  // OPALSWITCH_BASE_CLOCK_HPP_
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "base/clock.hpp"
 #include "gateway/descriptors.hpp"
+#include "gateway/log_line.hpp"
 #include "http/platform_request.hpp"
 
 namespace opalswitch::gateway {
@@ -21,8 +22,6 @@
   return settings;
 }
 
-void WriteLogLine(const std::string& line) { std::fprintf(stderr, "forkwick: %s\n", line.c_str()); }
-
 }  // namespace
 
 // Connections to hosts and to clients have separate shares of the descriptors, which together stay below the
@@ -39,9 +38,7 @@
       discovery_(io, config.discovery, config.known.revision,
                  {[this](const HostList& list) { pool_->UpdateMembership(list); },
                   [this](const RetryWindow& retry) { OnMembershipUpdateFailed(retry); }, WriteLogLine,
-                  [](const EndedCall& call) {
-                    if (IsNotable(call)) WriteLogLine(FormatEndedCall(call));
-                  }},
+                  NotableCallLogger(WriteLogLine)},
                  config.seed, settings_.requires_watch ? WatchTimes() : WatchTimes::ForPushedLists()),
       http_server_(io, HttpServerLimitsFor(config.sockets, config.memory_mb),
                    {[this] { return pool_->has_hosts() && !stop_.has_begun(); },
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -50,12 +50,6 @@
   return load;
 }
 
-std::string FormatSeconds(Millis ms) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.3f", ms / 1000);
-  return text;
-}
-
 // Adds Via (RFC 9110 7.6.3), X-Forwarded-For, X-Forwarded-Proto and, if missing, Req-Id.
 void AddForwardingHeaders(ClientRequest& request) {
   const auto append = [&](const char* name, const std::string& value) {
@@ -123,12 +117,10 @@
 }
 
 void Pool::UpdateMembership(const HostList& list) {
-  if (list.complete || !list.hosts.empty()) {
-    // Before the module reacts: it must not send to a host that is gone.
-    const HostChanges changes = host_pool_.Update(list);
-    if (!changes.IsEmpty())
-      Execute(Log{FormatHostChanges(Now(), list.revision, host_pool_.host_count(), changes)});
-  }
+  // Before the module reacts: it must not send to a host that is gone.
+  const HostChanges changes = host_pool_.Update(list);
+  if (!changes.IsEmpty())
+    Execute(Log{FormatHostChanges(Now(), list.revision, host_pool_.host_count(), changes)});
   has_hosts_ = has_hosts_ || !list.hosts.empty();
   HandleEvent(ToMembershipUpdate(list));
 }
--- a/src/gateway/service_gateway.cpp
+++ b/src/gateway/service_gateway.cpp
@@ -10,6 +10,7 @@
 #include "base/clock.hpp"
 #include "config/units.hpp"
 #include "gateway/descriptors.hpp"
+#include "gateway/log_line.hpp"
 #include "http/platform_request.hpp"
 #include "routing/route_table.hpp"
 
@@ -27,8 +28,6 @@
 constexpr Millis kMaxReadDelayMs = 1000;      // longest read delay after a refusal or failure
 constexpr Millis kBudgetRetryAfterMs = 1000;  // Retry-After when a shared budget is exhausted
 
-void WriteLogLine(const std::string& text) { std::fprintf(stderr, "forkwick: %s\n", text.c_str()); }
-
 // Sets the idle eviction threshold to the maximum, so that idle connections are closed only when no
 // connection is left: unlike on the platform, no front end counts idle connections against what its clients
 // may open.
--- a/src/membership/host_changes.cpp
+++ b/src/membership/host_changes.cpp
@@ -1,14 +1,14 @@
 #include "membership/host_changes.hpp"
 
 #include <algorithm>
-#include <iomanip>
 #include <sstream>
 
+#include "base/clock.hpp"
+
 namespace opalswitch::gateway {
 namespace {
 
 constexpr std::size_t kMaxIdsInLogLine = 16;
-constexpr Millis kMillisPerSecond = 1000;
 
 void AppendIds(std::ostringstream& line, const char* name, const std::vector<std::string>& ids) {
   if (ids.empty()) return;
@@ -22,9 +22,8 @@
 std::string FormatHostChanges(Millis now, std::int64_t revision, std::size_t hosts_up,
                               const HostChanges& changes) {
   std::ostringstream line;
-  line << "hosts changed at=" << std::fixed << std::setprecision(3) << now / kMillisPerSecond
-       << " revision=" << revision << " up=" << hosts_up << " added=" << changes.added.size()
-       << " removed=" << changes.removed.size();
+  line << "hosts changed at=" << FormatSeconds(now) << " revision=" << revision << " up=" << hosts_up
+       << " added=" << changes.added.size() << " removed=" << changes.removed.size();
   AppendIds(line, "added.ids", changes.added);
   AppendIds(line, "removed.ids", changes.removed);
   return line.str();
--- a/src/membership/host_source.cpp
+++ b/src/membership/host_source.cpp
@@ -99,10 +99,7 @@
                     discovery_.WatchAfterDelay();
                     handlers_.on_failure();
                   },
-                  handlers_.on_log,
-                  [this](const EndedCall& call) {
-                    if (IsNotable(call)) handlers_.on_log(FormatEndedCall(call));
-                  }},
+                  handlers_.on_log, NotableCallLogger(handlers_.on_log)},
                  std::random_device{}()) {}
 
 void DiscoverySource::Start() { discovery_.Watch(); }
--- a/src/membership/watch_log.cpp
+++ b/src/membership/watch_log.cpp
@@ -3,13 +3,15 @@
 #include <bit>
 #include <iomanip>
 #include <sstream>
+#include <utility>
+
+#include "base/clock.hpp"
 
 namespace opalswitch::gateway {
 namespace {
 
 // Failures in a row of which each one is logged; then only the 16th, 32nd and so on.
 constexpr int kMaxFailuresLoggedEach = 8;
-constexpr Millis kMillisPerSecond = 1000;
 
 const char* FailureName(WatchFailure failure) {
   switch (failure) {
@@ -34,9 +36,8 @@
 
 std::string FormatEndedCall(const EndedCall& call) {
   std::ostringstream line;
-  line << "discovery call=" << call.number << std::fixed << std::setprecision(3)
-       << " at=" << call.ended_at / kMillisPerSecond << std::setprecision(1)
-       << " ended=" << (call.failure ? FailureName(*call.failure) : "list")
+  line << "discovery call=" << call.number << " at=" << FormatSeconds(call.ended_at) << std::fixed
+       << std::setprecision(1) << " ended=" << (call.failure ? FailureName(*call.failure) : "list")
        << " gap_ms=" << call.since_previous << " after_ms=" << call.elapsed
        << " failures=" << call.consecutive_failures;
   if (call.revision) line << " revision=" << *call.revision;
@@ -46,4 +47,10 @@
   return line.str();
 }
 
+std::function<void(const EndedCall&)> NotableCallLogger(std::function<void(const std::string&)> write_line) {
+  return [write_line = std::move(write_line)](const EndedCall& call) {
+    if (IsNotable(call)) write_line(FormatEndedCall(call));
+  };
+}
+
 }  // namespace opalswitch::gateway
--- a/src/membership/watch_log.hpp
+++ b/src/membership/watch_log.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -34,6 +35,9 @@
 //   unconfirmed_ms=8200.5
 std::string FormatEndedCall(const EndedCall& call);
 
+// Returns a handler that passes the lines of notable calls to `write_line`.
+std::function<void(const EndedCall&)> NotableCallLogger(std::function<void(const std::string&)> write_line);
+
 }  // namespace opalswitch::gateway
 
 #endif  // OPALSWITCH_MEMBERSHIP_WATCH_LOG_HPP_
--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace opalswitch::gateway {
 namespace {
@@ -67,7 +68,7 @@
   // revisions.
   wait_ = 0;
   if (!revision_ || stale_lists_ > 0) return "/discovery/hosts";
-  const Millis mean_wait = consecutive_failures_ > 0
+  const Millis mean_wait = failed_.calls > 0
                                ? times_.mean_recovery_wait
                                : ExponentialDelay(times_.mean_wait, lists_without_news_,
                                                   std::max(times_.mean_wait, WatchTimes().mean_wait));
@@ -80,9 +81,9 @@
   if (wait_ <= 0) return times_.max_response_timeout;
   const Millis timeout =
       wait_ + std::min(times_.max_response_timeout,
-                       2 * queue_delay_ + ExponentialDelay(times_.response_timeout, consecutive_timeouts_ - 1,
+                       2 * queue_delay_ + ExponentialDelay(times_.response_timeout, failed_.timeouts - 1,
                                                            times_.max_response_timeout));
-  return consecutive_failures_ > 0 ? std::min(timeout, times_.max_retry_interval) : timeout;
+  return failed_.calls > 0 ? std::min(timeout, times_.max_retry_interval) : timeout;
 }
 
 Millis WatchSchedule::NextCallDelay(double uniform) const {
@@ -90,28 +91,42 @@
 }
 
 bool WatchSchedule::ShouldRetryImmediately(WatchFailure failure) const {
-  if (failure == WatchFailure::kTimeout) return consecutive_failures_ == 1;
-  return consecutive_failures_ <= kMaxImmediateRetries &&
+  if (failure == WatchFailure::kTimeout) return failed_.calls == 1;
+  return failed_.calls <= kMaxImmediateRetries &&
          (failure == WatchFailure::kTruncated || failure == WatchFailure::kMalformed);
 }
 
 Millis WatchSchedule::RetryDelay(double uniform) const {
   const Millis delay =
-      ExponentialDelay(times_.initial_retry_delay, consecutive_failures_ - 1, times_.max_retry_delay) *
+      ExponentialDelay(times_.initial_retry_delay, failed_.calls - 1, times_.max_retry_delay) *
       (0.5 + uniform);
   return std::max(kMinRetryDelayMs, std::min(delay, retry_.latest));
 }
 
-bool WatchSchedule::IsCrowded() const { return slow_refusals_ >= kSlowRefusalsOfCrowd; }
+bool WatchSchedule::IsCrowded() const { return failed_.slow_refusals >= kSlowRefusalsOfCrowd; }
 
-RetryWindow WatchSchedule::RetryAfter(WatchFailure failure, Millis elapsed) const {
+void WatchSchedule::CountFailure(WatchFailure failure, Millis elapsed) {
+  ++failed_.calls;
+  failed_.timeouts = failure == WatchFailure::kTimeout ? failed_.timeouts + 1 : 0;
+  if (failure == WatchFailure::kErrorStatus && elapsed >= kSlowRefusalMs) ++failed_.slow_refusals;
+  const bool is_silent_watch = failed_.calls == 1 && failure == WatchFailure::kTimeout;
+  const bool is_broken_response = failure == WatchFailure::kTruncated || failure == WatchFailure::kMalformed;
+  failed_.is_overdue = failed_.is_overdue || is_silent_watch || is_broken_response;
+}
+
+RetryWindow WatchSchedule::RetryAfter(WatchFailure failure, Millis elapsed) {
+  if (IsCrowded()) return {times_.max_retry_interval, kCrowdedRetryFactor * times_.max_retry_interval};
   // A watch that discovery ends has delivered all changes up to then. Any other call has missed those that
   // came while it was out.
-  const bool is_ended_watch = consecutive_failures_ == 0 &&
-                              (failure == WatchFailure::kClosed || failure == WatchFailure::kErrorStatus);
-  if (is_ended_watch) return {0, times_.max_retry_interval};
-  if (IsCrowded()) return {times_.max_retry_interval, kCrowdedRetryFactor * times_.max_retry_interval};
-  return {0, std::max(0.0, times_.max_retry_interval - elapsed)};
+  const bool is_ended_watch =
+      failed_.calls == 1 && (failure == WatchFailure::kClosed || failure == WatchFailure::kErrorStatus);
+  const Millis missed = is_ended_watch ? 0 : elapsed;
+  const Millis latest = std::max(0.0, times_.max_retry_interval - missed);
+  if (!failed_.is_overdue || ShouldRetryImmediately(failure) || failed_.overdue_retries >= kMaxOverdueRetries)
+    return {0, latest};
+  // A call that took long to fail may have been queued, and is not followed at once by another.
+  const Millis delay = ExponentialDelay(kInitialOverdueRetryDelayMs, failed_.overdue_retries++, latest);
+  return {0, std::min(latest, std::max(delay, elapsed))};
 }
 
 bool WatchSchedule::AcceptList(const HostList& list) {
@@ -133,22 +148,11 @@
 
 std::optional<std::string> WatchSchedule::RecordFailure(WatchFailure failure, Millis elapsed,
                                                         const std::string& detail) {
-  consecutive_timeouts_ = failure == WatchFailure::kTimeout ? consecutive_timeouts_ + 1 : 0;
-  if (failure == WatchFailure::kErrorStatus && elapsed >= kSlowRefusalMs) ++slow_refusals_;
-  retry_ = RetryAfter(failure, elapsed);
-  const bool is_silent_watch = consecutive_failures_ == 0 && failure == WatchFailure::kTimeout;
-  const bool is_broken_response = failure == WatchFailure::kTruncated || failure == WatchFailure::kMalformed;
-  is_overdue_ = is_overdue_ || is_silent_watch || is_broken_response;
   // An error that comes quickly means that discovery is down, and says nothing about its queue.
   if (failure == WatchFailure::kErrorStatus) UpdateQueueDelay(std::max(queue_delay_, elapsed));
-  const bool is_first = consecutive_failures_++ == 0;
-  if (is_overdue_ && !IsCrowded() && !ShouldRetryImmediately(failure) &&
-      overdue_retries_ < kMaxOverdueRetries) {
-    // A call that took long to fail may have been queued, and is not followed at once by another.
-    const Millis delay = ExponentialDelay(kInitialOverdueRetryDelayMs, overdue_retries_++, retry_.latest);
-    retry_.latest = std::min(retry_.latest, std::max(delay, elapsed));
-  }
-  if (!is_first) return std::nullopt;
+  CountFailure(failure, elapsed);
+  retry_ = RetryAfter(failure, elapsed);
+  if (failed_.calls > 1) return std::nullopt;
   std::string line = std::string("discovery ") + DescribeFailure(failure);
   if (!detail.empty()) line += " (" + detail + ")";
   return line + (revision_ ? "; the last good list, revision " + std::to_string(*revision_) + ", stays"
@@ -160,10 +164,8 @@
   // may have arrived at any time during the wait, so a response with hosts gives only an upper bound of the
   // queue delay.
   if (!has_hosts && wait_ > 0) UpdateQueueDelay(elapsed - wait_);
-  if (has_hosts) UpdateQueueDelay(consecutive_failures_ > 0 ? elapsed : std::min(elapsed, queue_delay_));
-  const int failures = consecutive_failures_;
-  consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = slow_refusals_ = 0;
-  is_overdue_ = false;
+  if (has_hosts) UpdateQueueDelay(failed_.calls > 0 ? elapsed : std::min(elapsed, queue_delay_));
+  const int failures = std::exchange(failed_, {}).calls;
   if (failures == 0) return std::nullopt;
   return "discovery answers again after " + std::to_string(failures) +
          (failures == 1 ? " failed call" : " failed calls") + "; revision " +
@@ -172,9 +174,9 @@
 
 void WatchSchedule::Reset() {
   revision_.reset();
-  consecutive_failures_ = consecutive_timeouts_ = overdue_retries_ = stale_lists_ = lists_without_news_ = 0;
-  slow_refusals_ = 0;
-  is_overdue_ = true;
+  failed_ = {};
+  failed_.is_overdue = true;
+  stale_lists_ = lists_without_news_ = 0;
   queue_delay_ = 0;
 }
 
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -118,13 +118,14 @@
   const WatchTimes& times() const { return times_; }
   std::optional<std::int64_t> revision() const { return revision_; }
   // Failed calls since the last accepted list.
-  int consecutive_failures() const { return consecutive_failures_; }
+  int consecutive_failures() const { return failed_.calls; }
 
  private:
   // Whether discovery seems to get more calls than it can answer.
   bool IsCrowded() const;
-  // Retry() after a call that fails `elapsed` ms after it was sent, unless a list is overdue.
-  RetryWindow RetryAfter(WatchFailure failure, Millis elapsed) const;
+  void CountFailure(WatchFailure failure, Millis elapsed);
+  // Retry() after a counted call that failed `elapsed` ms after it was sent.
+  RetryWindow RetryAfter(WatchFailure failure, Millis elapsed);
   // Adds a sample to the EWMA; negative ones count as 0.
   void UpdateQueueDelay(Millis sample);
 
@@ -132,15 +133,20 @@
   std::optional<std::int64_t> revision_;
   Millis wait_ = 0;         // of the current call; 0 if it asks for the complete list without waiting
   Millis queue_delay_ = 0;  // EWMA of the time that calls were queued at discovery
-  int consecutive_failures_ = 0, consecutive_timeouts_ = 0;
+  // The failed calls since the last accepted list.
+  struct FailedCalls {
+    int calls = 0;
+    int timeouts = 0;       // the last ones, in a row
+    int slow_refusals = 0;  // that were queued at discovery
+    // Changes may have been missed, and count as known soon: a watch was silent, a response was broken off,
+    // or the address has changed. The next calls after a failure are then made at short intervals.
+    bool is_overdue = false;
+    int overdue_retries = 0;
+  };
+  FailedCalls failed_;
   int stale_lists_ = 0;  // consecutive complete lists with a revision below revision_
   std::int64_t stale_revision_ = 0;
   RetryWindow retry_;
-  // Changes may have been missed, and count as known soon: a watch was silent, a response was broken off, or
-  // the address has changed. The next calls after a failure are then made at short intervals.
-  bool is_overdue_ = false;
-  int overdue_retries_ = 0;
-  int slow_refusals_ = 0;       // since the last accepted list
   int lists_without_news_ = 0;  // consecutive complete lists with the revision already known
 };
 
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -316,6 +316,7 @@
 
 HostChanges HostPool::Update(const HostList& list) {
   HostChanges changes;
+  if (!list.complete && list.hosts.empty()) return changes;
   if (list.complete) {
     for (auto& [id, host] : hosts_) host.is_up = false;
   }
--- a/tests/discovery_crowd_test.cpp
+++ b/tests/discovery_crowd_test.cpp
@@ -15,7 +15,6 @@
 namespace opalswitch::testing {
 namespace {
 
-using gateway::HostList;
 using gateway::WatchFailure;
 using gateway::WatchSchedule;
 
--- a/tests/membership_deadline_test.cpp
+++ b/tests/membership_deadline_test.cpp
@@ -77,12 +77,6 @@
     SendLater();
   }
 
-  // Whether the gateway has been sent the newest list, and this long has passed since.
-  bool HasHadNewestListFor(milliseconds duration) const {
-    const auto written_at = discovery.newest_written_at();
-    return written_at && std::chrono::steady_clock::now() >= *written_at + duration;
-  }
-
   DiscoveryService discovery;
   const std::string name;
   std::unique_ptr<GatewayProcess> process;
@@ -148,11 +142,29 @@
                     std::max(kKnownAfterReachable, gateway.discovery.last_wait() + kKnownAfterSilentWait));
   }
 
+  // Discovery resets all calls, up to the `last_failed`-th. That one ends by `reaction`, after `delay`.
+  // Discovery is back just as it begins, the worst moment, and h0 is removed.
+  void ExpectNoLateRequestsAfterOutage(int gateway_count, int last_failed, Reaction reaction,
+                                       milliseconds delay = milliseconds(5)) {
+    Start(gateway_count, SettingsFor(181), [=, this](WatchedGateway& gateway) {
+      const milliseconds usual_delay = gateway.discovery.delay;
+      gateway.discovery.react = [=, this, &gateway](int call) {
+        gateway.discovery.delay = call == last_failed ? delay : usual_delay;
+        if (call < last_failed) return Reaction::kReset;
+        if (call > last_failed) return Reaction::kServe;
+        RemoveFirstHost(gateway, kKnownAfterReachable);
+        return reaction;
+      };
+    });
+    RunUntilAllKnow();
+    ExpectNoLateRequests();
+  }
+
   // Runs until each gateway has had the newest list for longer than the grace.
   void RunUntilAllKnow() {
     const auto end = std::chrono::steady_clock::now() + kMaxTestTime;
     const auto knows = [](const auto& gateway) {
-      return gateway->deadline && gateway->HasHadNewestListFor(kDrainGrace + kMeasuringSlack);
+      return gateway->deadline && gateway->discovery.HasWrittenNewestFor(kDrainGrace + kMeasuringSlack);
     };
     while (!std::all_of(gateways.begin(), gateways.end(), knows)) {
       if (std::chrono::steady_clock::now() > end) break;
@@ -196,47 +208,18 @@
 // Guards servers that are removed while discovery is down against new work long after it is back: the delay
 // between calls must not exceed the time after which a change counts as known.
 TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterAnOutageOfDiscoveryInALargeFleet) {
-  constexpr int kFailedCalls = 3;
-  Start(24, SettingsFor(181), [this](WatchedGateway& gateway) {
-    gateway.discovery.react = [this, &gateway](int call) {
-      // Discovery is back just after the last failed call, the worst moment.
-      if (call == kFailedCalls) RemoveFirstHost(gateway, kKnownAfterReachable);
-      return call <= kFailedCalls ? Reaction::kReset : Reaction::kServe;
-    };
-  });
-  RunUntilAllKnow();
-  ExpectNoLateRequests();
+  ExpectNoLateRequestsAfterOutage(24, 3, Reaction::kReset);
 }
 
 // Guards the same against a call that is never answered: the time until it is given up is a part of the delay
 // between calls.
 TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterACallThatIsNeverAnswered) {
-  constexpr int kSilentCall = 2;
-  Start(12, SettingsFor(181), [this](WatchedGateway& gateway) {
-    gateway.discovery.react = [this, &gateway](int call) {
-      // Discovery is back, but not for the call that it has lost.
-      if (call == kSilentCall) RemoveFirstHost(gateway, kKnownAfterReachable);
-      if (call == kSilentCall) return Reaction::kStaySilent;
-      return call < kSilentCall ? Reaction::kReset : Reaction::kServe;
-    };
-  });
-  RunUntilAllKnow();
-  ExpectNoLateRequests();
+  ExpectNoLateRequestsAfterOutage(12, 2, Reaction::kStaySilent);
 }
 
 // Guards the same against calls that wait in the queue of a crowded discovery, and fail in it.
 TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterACallThatFailsInTheQueue) {
-  constexpr int kQueuedCall = 2;
-  Start(12, SettingsFor(181), [this](WatchedGateway& gateway) {
-    gateway.discovery.react = [this, &gateway](int call) {
-      gateway.discovery.delay = milliseconds(call == kQueuedCall ? 1500 : 5);
-      if (call == kQueuedCall) RemoveFirstHost(gateway, kKnownAfterReachable);
-      if (call == kQueuedCall) return Reaction::kErrorStatus;
-      return call < kQueuedCall ? Reaction::kReset : Reaction::kServe;
-    };
-  });
-  RunUntilAllKnow();
-  ExpectNoLateRequests();
+  ExpectNoLateRequestsAfterOutage(12, 2, Reaction::kErrorStatus, milliseconds(1500));
 }
 
 // Guards servers that are removed while a watch is silent: the failed call behind it must not use up the time
@@ -245,9 +228,9 @@
   constexpr int kFailedCalls = 3;
   Start(12, SettingsFor(181), [this](WatchedGateway& gateway) {
     gateway.discovery.react = [this, &gateway](int call) {
-      if (call == 1) RemoveFirstHostDuringSilentWatch(gateway);
-      if (call == 1) return Reaction::kStaySilent;
-      return call <= kFailedCalls ? Reaction::kReset : Reaction::kServe;
+      if (call > 1) return call <= kFailedCalls ? Reaction::kReset : Reaction::kServe;
+      RemoveFirstHostDuringSilentWatch(gateway);
+      return Reaction::kStaySilent;
     };
   });
   RunUntilAllKnow();
@@ -275,8 +258,7 @@
   });
   const auto all_know = [&] {
     return std::all_of(moved.begin(), moved.end(), [](const auto& next) {
-      return next->newest_written_at() &&
-             std::chrono::steady_clock::now() > *next->newest_written_at() + kDrainGrace + kMeasuringSlack;
+      return next->HasWrittenNewestFor(kDrainGrace + kMeasuringSlack);
     });
   };
   EXPECT_TRUE(RunUntil(io, all_know));
--- a/tests/standins/discovery_service.hpp
+++ b/tests/standins/discovery_service.hpp
@@ -24,7 +24,6 @@
     kServe,
     kReset,          // the connection is reset, after the delay
     kErrorStatus,    // 503, after the delay
-    kTruncate,       // the connection ends within the response, after the delay
     kStaySilent,     // never answered
     kServeOnReturn,  // answered once AnswerSilentCalls() is called
   };
@@ -52,16 +51,17 @@
   std::function<Reaction(int call)> react;
   std::chrono::milliseconds delay{5};  // before each response or failure
 
-  int calls() const { return calls_; }
   // How long the last call asked to wait for news.
   std::chrono::milliseconds last_wait() const { return last_wait_; }
-  int revision() const { return revision_; }
-  // The connections of all calls so far, in the order of their acceptance.
-  const auto& connections() const { return peer_.connections; }
   // When a list with the newest revision was first written; unset before that.
   std::optional<SteadyTime> newest_written_at() const {
     return written_revision_ == revision_ ? written_at_ : std::nullopt;
   }
+  // Whether that was at least this long ago.
+  bool HasWrittenNewestFor(std::chrono::milliseconds duration) const {
+    const auto written_at = newest_written_at();
+    return written_at && std::chrono::steady_clock::now() >= *written_at + duration;
+  }
 
  private:
   struct Entry {
@@ -77,11 +77,6 @@
       case Reaction::kServe: return OnServedCall(call);
       case Reaction::kReset: return After(delay, [call] { call.connection->Reset(); });
       case Reaction::kErrorStatus: return After(delay, [call] { call.Answer(503, ""); });
-      case Reaction::kTruncate:
-        return After(delay, [this, call] {
-          call.connection->Raw("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"revision\":");
-          After(delay, [call] { call.connection->Close(); });
-        });
       case Reaction::kStaySilent: return;
       case Reaction::kServeOnReturn: silent_calls_.push_back(call); return;
     }
