Stop: refuse requests that become whole after the pending ones were failed

Cause: the stop fails the pending requests once and leaves 200 ms for the answers, but connections were read on in that time and whole requests were submitted as usual. The same cause on related paths: the request behind one that is failed on its connection, and the first request of a connection that is accepted that late.

Change: before the pending requests are failed the HTTP server is told to refuse requests. None reaches a pool from then on; what has been received is read to its end and answered with 503, a request that has only begun at once.

--- a/src/gateway/stop_sequence.cpp
+++ b/src/gateway/stop_sequence.cpp
@@ -46,6 +46,7 @@
     RunAfter(times.drain - times.stop_listening, [this, times, done] {
       http_server_.Drain(done);
       RunAfter(times.fail_pending - times.drain, [this, done] {
+        http_server_.RefuseRequests();  // first: a request may follow one that is failed
         fail_pending_();
         RunAfter(kFlushMs, done);
       });
--- a/src/gateway/stop_sequence.hpp
+++ b/src/gateway/stop_sequence.hpp
@@ -19,7 +19,7 @@
   // Closes idle connections and ends keep-alive. Until then open connections are served as usual, because
   // their clients have no better gateway to go to yet.
   Millis drain = 2200;
-  // Fails all requests that are still unanswered.
+  // Fails all requests that are still unanswered, and refuses those that come later.
   Millis fail_pending = 3300;
 
   // Returns the times for the deadlines in `settings`. The platform kills a gateway 700 ms after the longest
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -71,6 +71,17 @@
   }
   Millis phase_started_at() const { return phase_started_at_; }
 
+  // Ends the reading of requests: reads on as long as there is input, so that all whole requests are
+  // answered, then refuses the request that has begun or closes the idle connection. A connection that has
+  // had no request yet is kept: its first one may be on its way.
+  void FinishReading() {
+    if (phase_ != Phase::kReading) return;
+    error_code ec;
+    if (socket_.available(ec) > 0) return ReadInput();
+    if (HasPartialRequest()) return RespondAndClose(StoppingReply());
+    if (responses_sent_ > 0) Close(ConnectionEnd::kDrained);
+  }
+
   // A new connection gets some time for its first request to arrive: a client whose connection is closed at
   // once would only connect again.
   EvictionPriority eviction_priority(Millis now) const {
@@ -158,6 +169,8 @@
     if (!ec) return parser_->eager() ? SubmitRequest() : OnHeaderRead();
     if (ec != http::error::need_more) return HandleParseError(ec);
     if (buffer_.size() == buffer_.max_size()) return HandleParseError(http::error::buffer_overflow);
+    const bool awaits_first_request = responses_sent_ == 0 && !HasPartialRequest();
+    if (server_.is_refusing_ && !awaits_first_request) return FinishReading();
     WaitForInput();
   }
 
@@ -243,8 +256,9 @@
       const bool ready = server_.handlers_.is_ready();
       return SendResponse(HttpResponse(ready ? http::status::ok : http::status::service_unavailable, 11));
     }
-    NormalizeRequest(http, target_);
     is_head_request_ = http.method() == http::verb::head;
+    if (server_.is_refusing_) return SendResponse(ToResponse(StoppingReply()));
+    NormalizeRequest(http, target_);
     ClientRequest& request = *request_;
     request.http = std::move(http);
     request.received = buffered_at > 0 ? buffered_at : Now();
@@ -318,6 +332,10 @@
     SendResponse(std::move(response));
   }
 
+  static LocalReply StoppingReply() {
+    return {http::status::service_unavailable, "the gateway is stopping", 0, {}, "stopping"};
+  }
+
   static HttpResponse ToResponse(const LocalReply& reply) {
     HttpResponse response(reply.status, 11);
     response.set(http::field::content_type, "text/plain");
@@ -702,4 +720,10 @@
   CheckDrained();
 }
 
+void HttpServer::RefuseRequests() {
+  is_refusing_ = true;
+  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) session->FinishReading();
+}
+
 }  // namespace opalswitch::gateway
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -88,6 +88,9 @@
   // Closes all idle connections; all others close after their next response, unless another request has
   // arrived by then. Calls `done` once the last connection is closed.
   void Drain(std::function<void()> done);
+  // For the end of a drain: from now on no request reaches a pool. Those that are being read are answered
+  // with a refusal now, whole or not; later ones when they are read. Requests in progress are not affected.
+  void RefuseRequests();
 
  private:
   class Session;
@@ -135,6 +138,7 @@
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   boost::asio::steady_timer timeout_timer_;
   bool is_draining_ = false;
+  bool is_refusing_ = false;
   std::function<void()> on_drained_;
   ledger::ConnectionRecorder connection_recorder_;
   limits::LogThrottle lost_request_log_throttle_;
