Keyed requests: the end of the hosts' window holds for each write

Cause: the module compared the window with the time of its decision. The dial, a write in parts and a process that is held up came on top; the attempt knew the client's deadline alone.

Change: Send::write_within hands the end of the window (less 150 ms for a process that is held up) to the front end. HostPool ends the dial then and checks the time before each write; the attempt ends as not sent. A request that waits for a further attempt when its window ends is answered at once, as failed: a refusal is given only if the retry that it asks for comes inside the window. On the same path: an attempt whose connection is not up yet when the client leaves or has its answer is ended, also where the settings allow no cancelling.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -185,11 +185,14 @@
 // The cause as one lowercase word, for logs and clients. The words are part of the external interface.
 const char* CauseName(Cause cause);
 
-// Start an attempt. It ends with kTimedOut if there is no response after `timeout`.
+// Start an attempt. It ends with kTimedOut if there is no response after `timeout`. If the last byte of the
+// request has not been written `write_within` ms from now, it must not be written any more, and the attempt
+// ends with kNotSent: the servers drop a repeat only until then. 0 means that there is no such limit.
 struct Send {
   std::string request;
   std::string server;
   Millis timeout = 0;
+  Millis write_within = 0;
 };
 // Final answer: the request is refused, and a retry by the client is harmless.
 struct Refuse {
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -167,6 +167,7 @@
   RespondWithCause(*pending, ledger::RequestOutcome::kFailed, HttpResponse(http::status::gateway_timeout, 11),
                    "overdue");
   HandleEvent(ClientGone{id});
+  CancelUnsentAttempts(id);
 }
 
 void Pool::HandleEvent(Event event) {
@@ -183,7 +184,8 @@
       outcome->finished = pending == nullptr || pending->is_answered;
     }
     actions.clear();
-    policy_.Handle(Now(), next, actions);
+    decided_at_ = Now();
+    policy_.Handle(decided_at_, next, actions);
     for (const Action& action : actions) {
       std::visit([this](const auto& a) { Execute(a); }, action);
     }
@@ -206,10 +208,12 @@
   const std::size_t index = pending->attempts.size();
   pending->attempts.push_back({send.server, now});
   if (index > 0) loss_recorder_.RecordRetry(pending->class_name);
-  const Millis deadline = send.timeout > 0 ? std::min(now + send.timeout, pending->response_deadline)
-                                           : pending->response_deadline;
+  HostPool::AttemptTimes times;
+  times.deadline = send.timeout > 0 ? std::min(now + send.timeout, pending->response_deadline)
+                                    : pending->response_deadline;
+  if (send.write_within > 0) times.write_by = decided_at_ + send.write_within;
   const std::uint64_t upstream_id =
-      host_pool_.Start(send.server, pending->http, deadline,
+      host_pool_.Start(send.server, pending->http, times,
                        [this, id = send.request, index](Result result, HttpResponse response) {
                          OnAttemptEnded(id, index, result, std::move(response));
                        });
@@ -362,6 +366,19 @@
     pending->deadline_timer.cancel();
   }
   HandleEvent(ClientGone{id});
+  CancelUnsentAttempts(id);
+}
+
+// The module cancels attempts only where the settings allow it. Without this, one whose connection is still
+// being established would begin when the client has left or has its answer.
+void Pool::CancelUnsentAttempts(const std::string& id) {
+  const PendingRequest* const pending = FindRequest(id);
+  if (pending == nullptr) return;
+  std::vector<std::uint64_t> in_flight;  // the request may be erased below
+  for (const Attempt& attempt : pending->attempts) {
+    if (attempt.in_flight) in_flight.push_back(attempt.upstream_id);
+  }
+  for (const std::uint64_t upstream_id : in_flight) host_pool_.CancelUnsent(upstream_id);
 }
 
 void Pool::FailPending() {
--- a/src/gateway/pool.hpp
+++ b/src/gateway/pool.hpp
@@ -97,6 +97,9 @@
   // Fails the request if it is still unanswered shortly before its client gives up.
   void OnDeadline(const std::string& id);
 
+  // Ends the attempts of an answered or abandoned request, except those that a host may have received.
+  void CancelUnsentAttempts(const std::string& id);
+
   // Passes an event to the decision module and executes the returned actions. Not reentrant: events that an
   // action raises synchronously are queued and handled after it.
   void HandleEvent(Event event);
@@ -127,6 +130,7 @@
   boost::asio::io_context& io_;
   const Options options_;
   Policy policy_;
+  Millis decided_at_ = 0;  // the time that the module was given with the current event
   HostPool host_pool_;
   std::unordered_map<std::string, PendingRequest> requests_;
   std::deque<Event> events_;
--- a/src/module/attempts.cpp
+++ b/src/module/attempts.cpp
@@ -9,8 +9,9 @@
 constexpr Millis kMinRetryAfterMs = 10;
 
 void Policy::Impl::SendAttempt(ActiveRequest& request, TrackedServer& server) {
-  const Millis deadline =
-      classes_[request.class_index].settings.late_worth > 0 ? request.client_deadline : request.aim_deadline;
+  const ClassSettings& class_settings = classes_[request.class_index].settings;
+  const Millis deadline = class_settings.late_worth > 0 ? request.client_deadline : request.aim_deadline;
+  const Millis repeat_deadline = RepeatDeadline(request);
   tokens_ -= 1;
   spent_rate_ += 1000 / SpentRateWindow();
   if (HasSendBudget(server)) server.send_credit -= 1;
@@ -19,7 +20,8 @@
   ++attempts_in_flight_;
   ++server.attempt_refs;
   request.attempts.push_back({&server, now_});
-  EmitAction(Send{request.id, server.info.id, std::max(1.0, deadline - now_)});
+  EmitAction(Send{request.id, server.info.id, std::max(1.0, deadline - now_),
+                  std::isfinite(repeat_deadline) ? repeat_deadline - now_ : 0});
 }
 
 void Policy::Impl::HandleEvent(Outcome outcome) {
@@ -86,7 +88,7 @@
       now_ + classes_[request.class_index].latency_ewma <
       (class_settings.late_worth > 0 ? request.client_deadline : request.aim_deadline);
   const bool has_attempts_left = static_cast<int>(request.attempts.size()) < settings_.max_attempts;
-  if (!may_run_again) return SendFinalAnswer(request, Cause::kMayHaveRun);
+  if (!may_run_again || now_ >= RepeatDeadline(request)) return SendFinalAnswer(request, Cause::kMayHaveRun);
   if (timed_out_on_available_server) return SendFinalAnswer(request, Cause::kSlowResponse);
   if (!can_be_in_time) return SendFinalAnswer(request, Cause::kNoTimeForRetry);
   if (!has_attempts_left) return SendFinalAnswer(request, Cause::kAttemptsExhausted);
@@ -102,10 +104,14 @@
 // Requires that the request has no attempt in flight.
 void Policy::Impl::SendFinalAnswer(ActiveRequest& request, Cause cause) {
   const ClassSettings& class_settings = classes_[request.class_index].settings;
+  const Millis retry_after = RetryAfterAdvice();
+  // The client's retry must come while servers still drop repeats.
+  const bool drops_client_retry = class_settings.effect == Effect::kKeyed &&
+                                  class_settings.group == DeduplicationScope::kAll &&
+                                  now_ + retry_after < RepeatDeadline(request);
   const bool retry_is_harmless =
-      request.NeverRan() || class_settings.effect == Effect::kSafe ||
-      (class_settings.effect == Effect::kKeyed && class_settings.group == DeduplicationScope::kAll);
-  EmitAction(retry_is_harmless ? Action(Refuse{request.id, RetryAfterAdvice(), cause})
+      request.NeverRan() || class_settings.effect == Effect::kSafe || drops_client_retry;
+  EmitAction(retry_is_harmless ? Action(Refuse{request.id, retry_after, cause})
                                : Action(Fail{request.id, cause}));
   request.is_answered = true;
   RemoveIfFinished(request);
--- a/src/module/impl.hpp
+++ b/src/module/impl.hpp
@@ -152,6 +152,7 @@
   // Expected latency of a further request to the server, for comparison; lower is better.
   double SelectionCost(const TrackedServer& server);
   // Whether the server drops repeats of the request's earlier attempts, where that is necessary.
+  Millis RepeatDeadline(const ActiveRequest& request) const;
   bool IsWithinDeduplicationScope(const ActiveRequest& request, const TrackedServer& server) const;
   // If the server can't take any request now, excludes it in the index until that may have changed, and
   // returns true. Refills its send credit.
--- a/src/module/queues.cpp
+++ b/src/module/queues.cpp
@@ -160,8 +160,8 @@
 // left, time out and cause further rate decreases. The answer must also be sent before the client gives up.
 Millis Policy::Impl::QueueDeadline(const ActiveRequest& request) const {
   const double wait_fraction = request.within_quota ? kMaxWaitFraction : kMaxSurplusWaitFraction;
-  return std::min(request.arrived_at + wait_fraction * (request.aim_deadline - request.arrived_at),
-                  request.client_deadline - kAnswerMarginMs);
+  return std::min({request.arrived_at + wait_fraction * (request.aim_deadline - request.arrived_at),
+                   request.client_deadline - kAnswerMarginMs, RepeatDeadline(request)});
 }
 
 // Checks all queued requests, not only the first of each queue: a request may expire before those ahead of
--- a/src/module/server_selection.cpp
+++ b/src/module/server_selection.cpp
@@ -15,6 +15,9 @@
 constexpr int kMaxDraws = 32;
 // Maximum number of servers that the linear scan considers.
 constexpr std::size_t kMaxScanLength = 256;
+// Kept before the end of a repeat window: a gateway may be held up for this time between reading its clock
+// and writing.
+constexpr Millis kRepeatWindowMarginMs = 150;
 // Maximum time until the send credit of a server is checked again.
 constexpr Millis kMaxCreditWaitMs = 100;
 
@@ -43,6 +46,16 @@
   return zone_cost * (server.in_flight + 1) * (total_samples > 0 ? latency : std::max(1.0, MedianLatency()));
 }
 
+// The time from which a request must not be sent again because servers may no longer drop its repeats;
+// infinite if no attempt may have run or the class is not keyed.
+Millis Policy::Impl::RepeatDeadline(const ActiveRequest& request) const {
+  const ClassSettings& class_settings = classes_[request.class_index].settings;
+  const Attempt* const first_run =
+      class_settings.effect == Effect::kKeyed ? request.FirstAttemptThatMayHaveRun() : nullptr;
+  if (first_run == nullptr) return std::numeric_limits<Millis>::infinity();
+  return first_run->sent_at + class_settings.repeat_window - kRepeatWindowMarginMs;
+}
+
 // A keyed request that may have run must stay with the servers that drop its repeats, and within the window
 // in which they do. Other effects are checked before a retry is queued.
 bool Policy::Impl::IsWithinDeduplicationScope(const ActiveRequest& request,
@@ -51,7 +64,7 @@
   const Attempt* first_run =
       class_settings.effect == Effect::kKeyed ? request.FirstAttemptThatMayHaveRun() : nullptr;
   if (first_run == nullptr) return true;
-  if (now_ - first_run->sent_at >= class_settings.repeat_window) return false;
+  if (now_ >= RepeatDeadline(request)) return false;
   const Server& first_server = first_run->server->info;
   if (class_settings.group == DeduplicationScope::kZone) return first_server.zone == server.info.zone;
   return class_settings.group == DeduplicationScope::kAll || first_server.cell == server.info.cell;
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -87,8 +87,11 @@
   struct Exchange {
     std::uint64_t attempt;
     std::shared_ptr<const HttpRequest> request;
-    Millis deadline;
+    AttemptTimes times;
     Completion done;
+
+    // The latest time at which the request may be written.
+    Millis SendDeadline() const { return std::min(times.deadline, times.write_by); }
   };
 
   Connection(HostPool& pool, std::string host, tcp::endpoint address)
@@ -111,7 +114,7 @@
   // Connects within the dial timeout, then sends the request.
   void ConnectAndSend(Exchange exchange) {
     Assign(std::move(exchange));
-    SetTimer(std::min(exchange_->deadline, Now() + pool_.limits_.dial_timeout));
+    SetTimer(std::min(exchange_->SendDeadline(), Now() + pool_.limits_.dial_timeout));
     socket_.async_connect(address_, [self = shared_from_this()](error_code ec) {
       if (self->is_open_) self->OnConnected(ec);
     });
@@ -120,7 +123,7 @@
   // Sends the request on an idle connection.
   void SendOnIdle(Exchange exchange) {
     Assign(std::move(exchange));
-    SetTimer(exchange_->deadline);
+    SetTimer(exchange_->SendDeadline());
     StartWrite();
   }
 
@@ -138,6 +141,8 @@
   }
   Millis idle_since() const { return idle_since_; }
 
+  bool HasWrittenRequest() const { return writer_.IsDone(); }
+
   // Closes the connection and completes the current exchange, if any, with `result`.
   void Fail(Result result) {
     Close();
@@ -183,20 +188,21 @@
       pool_.RemoveIdle(host_, this);
       return Close();
     }
-    Fail(writer_.IsDone() ? Result::kTimedOut : Result::kConnectFailed);
+    if (writer_.IsDone()) return Fail(Result::kTimedOut);
+    Fail(Now() >= exchange_->times.write_by ? Result::kNotSent : Result::kConnectFailed);
   }
 
   void OnConnected(error_code ec) {
     if (ec) return Fail(Result::kConnectFailed);
     // The host may have started draining, or changed its address, during the connect.
     if (!pool_.IsUsable(host_, address_)) return Fail(Result::kNotSent);
-    SetTimer(exchange_->deadline);
+    SetTimer(exchange_->SendDeadline());
     StartWrite();
   }
 
   void StartWrite() {
-    writer_ =
-        SocketWriter(Serialize(*exchange_->request, static_cast<std::int64_t>(exchange_->deadline - Now())));
+    writer_ = SocketWriter(
+        Serialize(*exchange_->request, static_cast<std::int64_t>(exchange_->times.deadline - Now())));
     method_ = exchange_->request->method();
     exchange_->request.reset();
     error_code ec;
@@ -205,10 +211,15 @@
     ContinueWrite();
   }
 
-  // A timeout at any moment must know whether the host can have received the request.
+  // A timeout at any moment must know whether the host can have received the request. The time is checked
+  // before each write: a host begins a request with its last byte, which may follow long after the first.
   void ContinueWrite() {
+    if (Now() >= exchange_->SendDeadline()) return Fail(Result::kNotSent);
     if (!writer_.Write(socket_)) return Fail(Result::kConnectFailed);  // the request was not sent completely
-    if (writer_.IsDone()) return ReadHeader();
+    if (writer_.IsDone()) {
+      if (exchange_->times.write_by < exchange_->times.deadline) SetTimer(exchange_->times.deadline);
+      return ReadHeader();
+    }
     socket_.async_wait(tcp::socket::wait_write,
                        [self = shared_from_this(), generation = generation_](error_code) {
                          if (self->is_open_ && self->generation_ == generation) self->ContinueWrite();
@@ -336,14 +347,14 @@
 }
 
 std::uint64_t HostPool::Start(const std::string& host, std::shared_ptr<const HttpRequest> request,
-                              Millis deadline, Completion done) {
+                              const AttemptTimes& times, Completion done) {
   const std::uint64_t attempt = next_attempt_++;
   const auto found = hosts_.find(host);
-  if (found == hosts_.end() || Now() >= deadline) {
+  if (found == hosts_.end() || Now() >= std::min(times.deadline, times.write_by)) {
     done(Result::kNotSent, {});
     return attempt;
   }
-  Connection::Exchange exchange{attempt, std::move(request), deadline, std::move(done)};
+  Connection::Exchange exchange{attempt, std::move(request), times, std::move(done)};
   if (const auto connection = TakeIdleConnection(found->second)) {
     connection->SendOnIdle(std::move(exchange));
     return attempt;
@@ -392,7 +403,12 @@
   const auto found = in_flight_.find(attempt);
   if (found == in_flight_.end()) return;
   const auto connection = found->second;  // Fail removes it from the map
-  connection->Fail(Result::kCancelled);
+  connection->Fail(connection->HasWrittenRequest() ? Result::kCancelled : Result::kNotSent);
+}
+
+void HostPool::CancelUnsent(std::uint64_t attempt) {
+  const auto found = in_flight_.find(attempt);
+  if (found != in_flight_.end() && !found->second->HasWrittenRequest()) Cancel(attempt);
 }
 
 void HostPool::CloseIdleConnections(HostState& host) {
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -54,13 +55,22 @@
   // removed gets no further requests, not even on a connection that is still being established.
   HostChanges Update(const HostList& list);
 
-  // Sends the request to a host. Completes with kNotSent if the host is not up, the deadline has passed, or
-  // no connection is available. Returns the id of the attempt, for Cancel.
-  std::uint64_t Start(const std::string& host, std::shared_ptr<const HttpRequest> request, Millis deadline,
-                      Completion done);
-  // Completes an attempt in flight with kCancelled and closes its connection. Has no effect on ended
-  // attempts.
+  // Points in time on the clock of gateway::Now().
+  struct AttemptTimes {
+    Millis deadline = 0;  // for the response
+    // For the last byte of the request. It is not written after this time, however late the connection came
+    // up.
+    Millis write_by = std::numeric_limits<Millis>::infinity();
+  };
+  // Sends the request to a host. Completes with kNotSent if the host is not up, the time to write has passed,
+  // or no connection is available. Returns the id of the attempt, for Cancel.
+  std::uint64_t Start(const std::string& host, std::shared_ptr<const HttpRequest> request,
+                      const AttemptTimes& times, Completion done);
+  // Completes an attempt in flight and closes its connection: with kCancelled, or with kNotSent if the
+  // request has not been written completely. Has no effect on ended attempts.
   void Cancel(std::uint64_t attempt);
+  // The same, but has no effect on an attempt whose request has been written.
+  void CancelUnsent(std::uint64_t attempt);
 
   std::size_t connections() const { return connections_; }  // open connections, idle or not
   std::size_t host_count() const { return hosts_.size(); }  // hosts that are up
--- a/tests/client_disconnect_test.cpp
+++ b/tests/client_disconnect_test.cpp
@@ -6,7 +6,10 @@
 #include <memory>
 #include <string>
 
+#include "base/clock.hpp"
+#include "gateway.hpp"
 #include "gateway_harness.hpp"
+#include "standins/hanging_host.hpp"
 
 namespace opalswitch::testing {
 namespace {
@@ -109,5 +112,37 @@
   }
 }
 
+// Guards hosts against an attempt that begins when its connection comes up after its client has left, or has
+// got its answer, also where the settings allow no cancelling.
+TEST(ClientDisconnect, EndsAnAttemptWhoseConnectionIsNotUpYet) {
+  for (const bool can_cancel : {true, false}) {
+    for (const bool is_answered : {true, false}) {
+      SCOPED_TRACE(std::string(can_cancel ? "can cancel" : "cannot cancel") +
+                   (is_answered ? ", answered" : ", left"));
+      asio::io_context io;
+      HangingHost host(io);
+      gateway::Pool::Options options;
+      options.settings.classes = {MakeClass("pay", Effect::kUnsafe)};
+      options.settings.can_cancel = can_cancel;
+      options.upstream.dial_timeout = 20000;
+      const auto pool = std::make_shared<gateway::Pool>(io, options);
+      gateway::HostList list;
+      list.hosts.push_back({MakeServer("h0"), host.address()});
+      pool->UpdateMembership(list);
+      gateway::ClientRequest request;
+      request.id = "r1";
+      request.class_name = "pay";
+      request.received = gateway::Now();
+      request.client_timeout = 20000;
+      request.respond = [](const HttpResponse&) {};
+      pool->Submit(std::move(request));
+      ASSERT_EQ(pool->connections(), 1u);
+      is_answered ? pool->FailPending() : pool->ClientDisconnected("r1");
+      EXPECT_EQ(pool->connections(), 0u);
+      EXPECT_EQ(pool->active_requests(), 0u);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
--- a/tests/host_pool_test.cpp
+++ b/tests/host_pool_test.cpp
@@ -10,6 +10,7 @@
 
 #include "base/clock.hpp"
 #include "peers.hpp"
+#include "standins/hanging_host.hpp"
 
 namespace opalswitch::testing {
 namespace {
@@ -40,7 +41,7 @@
   Peer::ReceivedRequest Start() {
     const std::size_t received = host.requests.size();
     const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
-    pool.Start("h0", request, gateway::Now() + 60000, [this](Result result, HttpResponse response) {
+    pool.Start("h0", request, {gateway::Now() + 60000}, [this](Result result, HttpResponse response) {
       results.push_back(result);
       bodies.push_back(response.body());
     });
@@ -140,39 +141,125 @@
   EXPECT_EQ(period.duration(), gateway::QuietPeriod::kMaxMs);
 }
 
+// Guards keyed requests, which run twice if they are sent again when hosts no longer drop repeats: the time
+// to write may pass while the connection is being established, at the latest in the moment in which it comes
+// up.
+TEST(HostPool, WritesNothingOnAConnectionThatComesUpAfterTheTimeToWrite) {
+  for (const Millis write_within : {0.0, 1.0, 5.0, 60.0}) {
+    for (const bool connects_at_once : {true, false}) {
+      SCOPED_TRACE(std::to_string(write_within) + (connects_at_once ? ", at once" : ", late"));
+      asio::io_context io;
+      HangingHost hanging(io);
+      Peer prompt(io);
+      gateway::HostPool pool(io, {20000, 60000, 10});
+      gateway::HostList list;
+      list.hosts.push_back({MakeHost("h0"), connects_at_once ? prompt.address() : hanging.address()});
+      pool.Update(list);
+      std::optional<Result> result;
+      const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
+      const Millis write_by = gateway::Now() + write_within;
+      pool.Start("h0", request, {gateway::Now() + 20000, write_by},
+                 [&](Result r, HttpResponse) { result = r; });
+      while (gateway::Now() < write_by) continue;  // the loop is held up until then
+      ASSERT_TRUE(RunUntil(io, [&] {
+        if (result) hanging.Accept();
+        return result.has_value();
+      }));
+      EXPECT_EQ(*result, Result::kNotSent);
+      EXPECT_EQ(pool.connections(), 0u);
+      EXPECT_EQ(hanging.ReceivedBytes(), 0u);
+      EXPECT_TRUE(prompt.requests.empty());
+    }
+  }
+}
+
+// Guards the same for a request that is written in parts, and on an idle connection: its last byte counts.
+TEST(HostPool, DoesNotCompleteARequestAfterTheTimeToWrite) {
+  constexpr std::size_t kMoreThanSocketsHold = 64 << 20;
+  PoolHarness harness(LimitsWithQuietPeriod(0));
+  const auto first = harness.Start();
+  harness.Answer(first, "");
+  asio::io_context other_loop;  // a host that does not read
+  Peer unread(other_loop);
+  gateway::HostList list;
+  list.hosts = {{MakeHost("h1"), unread.address()}};
+  harness.pool.Update(list);
+  auto large = std::make_shared<HttpRequest>(http::verb::post, "/api", 11);
+  large->body().assign(kMoreThanSocketsHold, 'x');
+  harness.pool.Start("h1", large, {gateway::Now() + 60000, gateway::Now() + 100},
+                     [&](Result result, HttpResponse) { harness.results.push_back(result); });
+  ASSERT_TRUE(RunUntil(harness.io, [&] { return harness.results.size() == 2; }));
+  EXPECT_EQ(harness.results.back(), Result::kNotSent);
+  RunUntil(other_loop, [&] { return !unread.connections.empty() && unread.connections[0]->ended; });
+  EXPECT_TRUE(unread.requests.empty());
+
+  harness.pool.Start("h0", std::make_shared<const HttpRequest>(http::verb::get, "/api", 11),
+                     {gateway::Now() + 60000, gateway::Now()},
+                     [&](Result result, HttpResponse) { harness.results.push_back(result); });
+  EXPECT_EQ(harness.results.back(), Result::kNotSent);
+  EXPECT_EQ(harness.host.requests.size(), 1u);
+}
+
+// Guards a response against the time to write, which ends with the request's last byte.
+TEST(HostPool, AwaitsTheResponseBeyondTheTimeToWrite) {
+  PoolHarness harness(LimitsWithQuietPeriod(0));
+  const Millis write_by = gateway::Now() + 2000;
+  harness.pool.Start("h0", std::make_shared<const HttpRequest>(http::verb::get, "/api", 11),
+                     {gateway::Now() + 60000, write_by},
+                     [&](Result result, HttpResponse) { harness.results.push_back(result); });
+  ASSERT_TRUE(RunUntil(harness.io, [&] { return harness.host.requests.size() == 1; }));
+  ASSERT_TRUE(RunUntil(harness.io, [&] { return gateway::Now() > write_by + 10; }));
+  harness.Answer(harness.host.requests[0], "late");
+  EXPECT_EQ(harness.results, std::vector{Result::kServed});
+}
+
+// Guards a host against an attempt that begins after its client has left, where a written one is not
+// cancelled.
+TEST(HostPool, CancelUnsentEndsOnlyAttemptsThatAreNotWritten) {
+  asio::io_context io;
+  HangingHost hanging(io);
+  Peer prompt(io);
+  gateway::HostPool pool(io, {20000, 60000, 10});
+  gateway::HostList list;
+  list.hosts = {{MakeHost("h0"), hanging.address()}, {MakeHost("h1"), prompt.address()}};
+  pool.Update(list);
+  std::vector<Result> results;
+  const auto start = [&](const char* host) {
+    return pool.Start(host, std::make_shared<const HttpRequest>(http::verb::get, "/api", 11),
+                      {gateway::Now() + 20000}, [&](Result r, HttpResponse) { results.push_back(r); });
+  };
+  const auto unsent = start("h0"), written = start("h1");
+  ASSERT_TRUE(RunUntil(io, [&] { return prompt.requests.size() == 1; }));
+  pool.CancelUnsent(unsent);
+  pool.CancelUnsent(written);
+  EXPECT_EQ(results, std::vector{Result::kNotSent});
+  prompt.requests[0].Answer(200, "");
+  EXPECT_TRUE(RunUntil(io, [&] { return results.size() == 2; }));
+  EXPECT_EQ(results.back(), Result::kServed);
+  EXPECT_EQ(hanging.ReceivedBytes(), 0u);
+}
+
 // Guards the time between connect and write: a host that starts draining in it must get no byte. The connect
 // hangs because the listener's queue is full, and completes when there is room.
 TEST(HostPool, WritesNothingToAHostThatDrainsDuringTheConnect) {
   asio::io_context io;
-  tcp::acceptor listener(io, tcp::v4());
-  listener.bind(Loopback());
-  listener.listen(0);
-  listener.non_blocking(true);
-  const auto at = listener.local_endpoint();
-  tcp::socket fill(io);
-  fill.connect(at);  // takes the only place in the queue
+  HangingHost host(io);
   gateway::HostPool pool(io, {20000, 60000, 10});
   gateway::HostList list;
-  list.hosts.push_back({MakeHost("h0"), at});
+  list.hosts.push_back({MakeHost("h0"), host.address()});
   pool.Update(list);
   std::optional<Result> result;
   const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
-  pool.Start("h0", request, gateway::Now() + 20000, [&](Result r, HttpResponse) { result = r; });
+  pool.Start("h0", request, {gateway::Now() + 20000}, [&](Result r, HttpResponse) { result = r; });
   list.hosts[0].server.state = ServerState::kDraining;
   pool.Update(list);
-  std::vector<tcp::socket> accepted;
   ASSERT_TRUE(RunUntil(io, [&] {
-    error_code ec;
-    tcp::socket socket = listener.accept(ec);
-    if (!ec) accepted.push_back(std::move(socket));
+    host.Accept();
     return result.has_value();
   }));
   EXPECT_EQ(*result, Result::kNotSent);
   EXPECT_EQ(pool.connections(), 0u);
-  for (auto& socket : accepted) {
-    error_code ec;
-    EXPECT_EQ(socket.available(ec), 0u);
-  }
+  EXPECT_EQ(host.ReceivedBytes(), 0u);
 }
 
 // Guards the connection limit: beyond it an attempt ends as not sent, unless an idle connection can be
@@ -187,7 +274,7 @@
   std::vector<Result> results;
   const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
   const auto start = [&](const char* host) {
-    return pool.Start(host, request, gateway::Now() + 60000,
+    return pool.Start(host, request, {gateway::Now() + 60000},
                       [&](Result r, HttpResponse) { results.push_back(r); });
   };
   start("h1");
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -4,6 +4,8 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <optional>
+#include <random>
 #include <set>
 #include <stdexcept>
 
@@ -1118,5 +1120,75 @@
   for (std::size_t i = 0; i < a.sent.size(); ++i) EXPECT_EQ(a.sent[i].server, b.sent[i].server);
 }
 
+// Guards keyed requests against running twice after the servers' window: over any series of failures, each
+// further attempt must be written before the end of the window that the first attempt that may have run
+// began.
+TEST(Policy, KeyedAttemptsMustBeWrittenWithinTheWindowOfTheFirstThatMayHaveRun) {
+  constexpr Millis kWindow = 2000, kHoldUp = 150;
+  constexpr Result kNeverRan[] = {Result::kConnectFailed, Result::kNotSent, Result::kRejected};
+  std::mt19937 random(1);
+  int sent_again = 0;
+  for (int series = 0; series < 300; ++series) {
+    SCOPED_TRACE(series);
+    Settings settings = MakeSettings();
+    settings.max_attempts = 12;
+    settings.classes[1].repeat_window = kWindow;
+    settings.classes[1].aim = settings.classes[1].deadline = 8000;
+    settings.classes[1].group = DeduplicationScope::kAll;
+    FakeGateway gateway(settings, static_cast<std::uint64_t>(series));
+    gateway.SetServerCount(8);
+    gateway.ServeRequests(30, 20);
+    gateway.sent.clear();
+    auto actions = gateway.SendRequest("r", "key", 8000);
+    std::optional<Millis> window_end;
+    for (int attempt = 0; FakeGateway::CountActions<Refuse>(actions) == 0 &&
+                          FakeGateway::CountActions<Fail>(actions) == 0 && attempt < 12;
+         ++attempt) {
+      while (static_cast<int>(gateway.sent.size()) <= attempt) {
+        ASSERT_LT(gateway.now, 20000) << "neither sent nor answered";
+        actions = gateway.AdvanceTime(10);
+        if (FakeGateway::CountActions<Refuse>(actions) + FakeGateway::CountActions<Fail>(actions) > 0) break;
+      }
+      if (static_cast<int>(gateway.sent.size()) <= attempt) break;
+      const Send send = gateway.sent.back();
+      if (window_end) {
+        ++sent_again;
+        EXPECT_GT(send.write_within, 0);
+        EXPECT_LE(gateway.now + send.write_within, *window_end - kHoldUp + 1e-6);
+      } else {
+        EXPECT_EQ(send.write_within, 0);
+      }
+      const Millis sent_at = gateway.now;
+      gateway.now += 1 + static_cast<double>(random() % 900);
+      const bool may_have_run = random() % 3 == 0;
+      if (may_have_run && !window_end) window_end = sent_at + kWindow;
+      actions =
+          gateway.FinishAttempt("r", send.server, may_have_run ? Result::kReset : kNeverRan[random() % 3],
+                                gateway.now - sent_at, attempt);
+      // A refusal would invite a retry by the client, which would run.
+      if (window_end && gateway.now >= *window_end - kHoldUp) {
+        EXPECT_EQ(FakeGateway::CountActions<Fail>(actions), 1) << "not answered at once";
+      }
+    }
+  }
+  EXPECT_GT(sent_again, 100);
+}
+
+// Guards the client of a keyed request that waits for a server when the window ends: it is answered then.
+TEST(Policy, KeyedRequestInTheQueueIsAnsweredWhenItsWindowEnds) {
+  Settings settings = MakeSettings();
+  settings.classes[1].repeat_window = 1000;
+  settings.classes[1].aim = settings.classes[1].deadline = 8000;
+  FakeGateway gateway(settings);
+  gateway.SetServerCount(1);
+  gateway.SendRequest("r", "key", 8000);
+  ASSERT_EQ(gateway.sent.size(), 1u);
+  gateway.now += 100;
+  // The only server is not tried twice in a row, so the request waits.
+  gateway.FinishAttempt("r", gateway.sent[0].server, Result::kReset, 100);
+  EXPECT_EQ(FakeGateway::CountActions<Fail>(gateway.AdvanceTime(740)), 0);
+  EXPECT_EQ(FakeGateway::CountActions<Fail>(gateway.AdvanceTime(20)), 1);
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
