--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -76,6 +76,7 @@
   // had no request yet is kept: its first one may be on its way.
   void FinishReading() {
     if (phase_ != Phase::kReading) return;
+    if (std::exchange(is_read_paused_, false) && buffer_.size() > 0) return ContinueReading();
     error_code ec;
     if (socket_.available(ec) > 0) return ReadInput();
     if (HasPartialRequest()) return RespondAndClose(StoppingReply());
@@ -142,11 +143,15 @@
   bool HasPartialRequest() const { return buffer_.size() > 0 || parser_->got_some(); }
 
   void ReadHeader() {
+    PrepareParser();
+    ContinueReading();
+  }
+
+  void PrepareParser() {
     request_id_.clear();
     parser_.emplace();
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());  // set once the header is read
     parser_->header_limit(kMaxHeaderBytes);
-    ContinueReading();
   }
 
   // Whether the header or, once that is validated, the whole request has been parsed.
@@ -175,13 +180,21 @@
   }
 
   void WaitForInput() {
+    ResetArrivalIfNotWhole();
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
       if (self->phase_ != Phase::kReading) return;
       if (ec) return self->Close(ConnectionEnd::kReadFailed, ec);
+      if (self->is_read_paused_) return self->OnInputDuringPause();
       self->ReadInput();
     });
   }
 
+  // A request's time counts from its last byte, which is yet to come if all input has been read.
+  void ResetArrivalIfNotWhole() {
+    error_code ec;
+    if (next_request_received_at_ > 0 && socket_.available(ec) == 0) next_request_received_at_ = 0;
+  }
+
   void ReadInput() {
     error_code ec;
     const std::size_t size = boost::beast::read_size(buffer_, kMaxReadBufferBytes);
@@ -198,12 +211,30 @@
     Close(ConnectionEnd::kReadFailed, ec);
   }
 
-  // Reads the next header after a delay. Until then the client's input stays in the socket.
-  void ReadHeaderAfter(Millis pause) {
+  // Puts the reading of the next request off. Input that comes meanwhile stays in the socket, but the time of
+  // its arrival is noted, from which the request's time counts.
+  void PauseReading(Millis pause) {
+    is_read_paused_ = true;
+    if (buffer_.size() == 0) {
+      WaitForInput();
+    } else if (next_request_received_at_ == 0) {
+      next_request_received_at_ = Now();
+    }
     const auto timer = std::make_shared<asio::steady_timer>(server_.io_, ToDuration(pause));
-    timer->async_wait([self = shared_from_this(), timer, request_number = request_number_](error_code) {
-      if (self->phase_ == Phase::kReading && self->request_number_ == request_number) self->ReadHeader();
-    });
+    timer->async_wait([self = shared_from_this(), timer](error_code) { self->ResumeReading(); });
+  }
+
+  void OnInputDuringPause() {
+    if (HasPeerClosed(socket_)) return Close(ConnectionEnd::kClientClosed);
+    if (PeekInput(socket_).state == SocketInput::State::kNone) return WaitForInput();
+    if (next_request_received_at_ == 0) next_request_received_at_ = Now();
+  }
+
+  void ResumeReading() {
+    if (phase_ != Phase::kReading || !std::exchange(is_read_paused_, false)) return;
+    if (buffer_.size() > 0) return ContinueReading();
+    if (next_request_received_at_ > 0) ReadInput();
+    // Else a wait for input is pending.
   }
 
   // Validates, routes and admits the request before its body is read, so that refused requests use no memory
@@ -258,6 +289,8 @@
     }
     is_head_request_ = http.method() == http::verb::head;
     if (server_.is_refusing_) return SendResponse(ToResponse(StoppingReply()));
+    // Reading may have been put off, so the client may have left since it sent the request.
+    if (HasPeerClosed(socket_)) return Close(ConnectionEnd::kClientClosed);
     NormalizeRequest(http, target_);
     ClientRequest& request = *request_;
     request.http = std::move(http);
@@ -407,13 +440,13 @@
     ++responses_sent_;
     EnterPhase(Phase::kReading);
     if (buffer_.size() == 0 && buffer_.capacity() > kMaxIdleBufferBytes) buffer_.shrink_to_fit();
-    parser_.emplace();  // HasPartialRequest() reads it
+    PrepareParser();
     const auto read_throttle = std::exchange(read_throttle_, nullptr);
     const Millis pause = last_response_is_error_ && read_throttle ? read_throttle->NextDelay(Now()) : 0;
     if (pause > 0 && !server_.is_draining_) {
-      ReadHeaderAfter(pause);
+      PauseReading(pause);
     } else {
-      ReadHeader();
+      ContinueReading();
     }
     if (server_.on_drained_ && IsIdle()) return Close(ConnectionEnd::kDrained);
     while (server_.ShouldEvictIdle() && server_.EvictConnection(/*idle_only=*/true)) {
@@ -464,6 +497,7 @@
   bool is_head_request_ = false;          // the current request is one
   std::shared_ptr<limits::ReadThrottle> read_throttle_;  // of the current request's pool
   bool last_response_is_error_ = false;                  // its status was 429 or 5xx
+  bool is_read_paused_ = false;                          // by the throttle
   std::string request_id_;
   std::shared_ptr<Pool> pool_;  // that processes the current request
   std::uint64_t request_number_ = 0;
--- a/src/limits/read_throttle.hpp
+++ b/src/limits/read_throttle.hpp
@@ -1,6 +1,8 @@
-// Limits the rate at which client connections are read again after a refusal or failure. Responses are never
-// delayed; only the read of the connection's next request is. So clients that retry immediately, and are
-// refused again, can't take the event loop's time from the clients of other pools.
+// Delays the next read of client connections after refusals or failures, if they come faster than a given
+// rate. Responses are never delayed; only the read of the connection's next request is. So a client that
+// retries immediately, and is refused again, can take only so much of the event loop's time from the clients
+// of other pools. The delay of a read is bounded whatever came before it: the request's time is not known
+// until it is read.
 //
 // No I/O, no clock: times are milliseconds on any monotonic clock, given by the caller.
 #ifndef OPALSWITCH_LIMITS_READ_THROTTLE_HPP_
@@ -24,6 +26,7 @@
   Millis NextDelay(Millis now) {
     constexpr double kBurst = 20;
     next_read_at_ = std::max(next_read_at_, now - kBurst * read_interval_) + read_interval_;
+    next_read_at_ = std::min(next_read_at_, now + max_delay_);  // no debt from an overload that is over
     return std::clamp(next_read_at_ - now, 0.0, max_delay_);
   }
 
--- a/tests/client_disconnect_test.cpp
+++ b/tests/client_disconnect_test.cpp
@@ -3,12 +3,16 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/clock.hpp"
 #include "gateway.hpp"
 #include "gateway_harness.hpp"
+#include "http/http_server.hpp"
+#include "limits/read_throttle.hpp"
 #include "standins/hanging_host.hpp"
 
 namespace opalswitch::testing {
@@ -25,10 +29,15 @@
 
   void Send(const std::string& text) { asio::write(socket_, asio::buffer(text)); }
   void Disconnect() { socket_.close(); }
-  // Whether all of `text` has been received.
-  bool HasReceived(const std::string& text) {
+  // Whether all of `text` has been received, at least so many times.
+  bool HasReceived(const std::string& text, int times = 1) {
     Receive();
-    return received_.find(text) != std::string::npos;
+    std::size_t at = 0;
+    for (; times > 0 && at != std::string::npos; --times) {
+      at = received_.find(text, at);
+      if (at != std::string::npos) at += text.size();
+    }
+    return at != std::string::npos;
   }
   bool ended() {
     Receive();
@@ -144,5 +153,122 @@
   }
 }
 
+// An HTTP server that refuses its first requests and admits the others to a pool of one host. After each
+// refusal it puts the next read off.
+struct RefusingServer {
+  explicit RefusingServer(int refused_requests, Millis max_read_delay = 40)
+      : read_delay(max_read_delay),
+        refusals_left(refused_requests),
+        server(io, {},
+               {[] { return true; },
+                [this](const HttpRequest& head, const routing::Target&, const gateway::RequestOrigin&,
+                       gateway::ClientRequest& request) { return Admit(head, request); }},
+               "/up"),
+        address(server.Listen("", Loopback())) {
+    gateway::Pool::Options options;
+    options.settings.classes = {MakeClass("pay", Effect::kUnsafe)};
+    options.settings.can_cancel = true;
+    pool = std::make_shared<gateway::Pool>(io, options);
+    gateway::HostList list;
+    list.hosts.push_back({MakeServer("h0"), host.address()});
+    pool->UpdateMembership(list);
+    AnswerAfter(io, host, std::chrono::milliseconds(1));
+  }
+  ~RefusingServer() { pool->DropPending(); }
+
+  std::optional<gateway::LocalReply> Admit(const HttpRequest& head, gateway::ClientRequest& request) {
+    constexpr double kReadsPerSecond = 0.001;
+    if (!throttle) throttle = std::make_shared<limits::ReadThrottle>(kReadsPerSecond, read_delay);
+    for (; burst_left > 0; --burst_left) throttle->NextDelay(gateway::Now());
+    request.read_throttle = throttle;
+    request.id = std::string(head["Req-Id"]);
+    request.class_name = "pay";
+    request.client_timeout = client_timeout;
+    request.pool = pool;
+    if (refusals_left-- <= 0) return std::nullopt;
+    gateway::LocalReply reply{http::status::too_many_requests, "refused"};
+    reply.keep_connection = true;
+    return reply;
+  }
+  bool Until(const std::function<bool()>& done) { return RunUntil(io, done); }
+
+  asio::io_context io;
+  Peer host{io};
+  std::shared_ptr<gateway::Pool> pool;
+  std::shared_ptr<limits::ReadThrottle> throttle;
+  const Millis read_delay;
+  int burst_left = 30;  // reads that are not put off
+  int refusals_left;
+  Millis client_timeout = 20000;
+  gateway::HttpServer server;
+  const tcp::endpoint address;
+};
+
+// Guards hosts against requests whose client closed while their reading was put off: after a refusal (the
+// client closes before or behind its request), or behind other requests, however many.
+TEST(ClientDisconnect, NoRequestThatWasReadLateIsSentForAClientThatHasLeft) {
+  for (const int refused : {0, 1, 3}) {
+    for (const int unread : {0, 1, 3, 100}) {
+      SCOPED_TRACE(std::to_string(refused) + " refused, then " + std::to_string(unread) + " unread");
+      RefusingServer harness(refused);
+      SteppedClient client(harness.address);
+      for (int i = 0; i < refused; ++i) {
+        client.Send(ApiRequest("refused" + std::to_string(i), "pay"));
+        ASSERT_TRUE(harness.Until([&] { return client.HasReceived("refused\n", i + 1); }));
+      }
+      const auto served_before = harness.host.requests.size();
+      if (refused == 0) ASSERT_TRUE(harness.Until([&] { return harness.server.connections() == 1; }));
+      std::string text;
+      for (int i = 0; i < unread; ++i) text += ApiRequest("late" + std::to_string(i), "pay");
+      if (!text.empty()) client.Send(text);
+      client.Disconnect();
+      ASSERT_TRUE(harness.Until(
+          [&] { return harness.server.connections() == 0 && harness.pool->active_requests() == 0; }));
+      EXPECT_EQ(harness.host.requests.size(), served_before);
+    }
+  }
+}
+
+// Guards the same for a client that leaves while the first of its requests is in progress, with fast answers.
+TEST(ClientDisconnect, NoFurtherRequestIsSentForAClientThatLeavesDuringTheFirst) {
+  for (const int behind : {1, 3, 100}) {
+    SCOPED_TRACE(behind);
+    RefusingServer harness(0);
+    SteppedClient client(harness.address);
+    std::string text;
+    for (int i = 0; i <= behind; ++i) text += ApiRequest("r" + std::to_string(i), "pay");
+    client.Send(text);
+    ASSERT_TRUE(harness.Until([&] { return harness.host.requests.size() == 1; }));
+    client.Disconnect();
+    ASSERT_TRUE(harness.Until([&] { return harness.server.connections() == 0; }));
+    EXPECT_EQ(harness.host.requests.size(), 1u);
+  }
+}
+
+// Guards clients with little time against a wait that is not counted: a request's time runs from its arrival,
+// also while its reading is put off, and from its last byte if that comes later.
+TEST(ClientDisconnect, TheTimeOfARequestThatIsReadLateCountsFromItsArrival) {
+  for (const bool is_in_pieces : {false, true}) {
+    SCOPED_TRACE(is_in_pieces ? "in pieces" : "whole");
+    constexpr Millis kReadDelay = 400, kClientTimeout = 300;
+    RefusingServer harness(1, kReadDelay);
+    harness.client_timeout = kClientTimeout;
+    SteppedClient client(harness.address);
+    client.Send(ApiRequest("refused", "pay"));
+    ASSERT_TRUE(harness.Until([&] { return client.HasReceived("refused\n"); }));
+    const std::string text = ApiRequest("late", "pay");
+    client.Send(text.substr(0, is_in_pieces ? 20 : text.size()));
+    if (is_in_pieces) {
+      const Millis sent_at = gateway::Now();
+      ASSERT_TRUE(harness.Until([&] { return gateway::Now() > sent_at + kReadDelay + kClientTimeout; }));
+      client.Send(text.substr(20));
+    }
+    const std::string wanted = is_in_pieces ? "response to late" : "HTTP/1.1 503";
+    EXPECT_TRUE(harness.Until([&] { return client.HasReceived(wanted) || client.ended(); }));
+    EXPECT_TRUE(client.HasReceived(wanted));
+    EXPECT_EQ(harness.host.requests.size(), is_in_pieces ? 1u : 0u);
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -133,5 +133,18 @@
   EXPECT_EQ(throttle.NextDelay(100000), 0);
 }
 
+// Guards requests against a delay that outlives the overload: it is bounded after any number of refusals, and
+// ends with them.
+TEST(ReadThrottle, DelayEndsWithTheOverloadAfterAnyNumberOfRefusals) {
+  constexpr double kMaxDelay = 50, kInterval = 4;
+  for (const int refusals : {1, 3, 30, 1000, 100000}) {
+    SCOPED_TRACE(refusals);
+    limits::ReadThrottle throttle(1000 / kInterval, kMaxDelay);
+    double now = 100;
+    for (int i = 0; i < refusals; ++i) EXPECT_LE(throttle.NextDelay(now += 0.01), kMaxDelay);
+    EXPECT_EQ(throttle.NextDelay(now + kMaxDelay + kInterval), 0);
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
