Discovery: the next call after refusals comes in what is left of the 6 s

Cause: the guard for a crowded discovery drew its delay from a range that ends beyond the 6 s, as if nothing could change after the refusals.

Change: after the first slow refusal the next call comes 4.75 s after the start of the refused one, after further ones 5.4 s after the end of the last, however many. The delay is not random: calls keep the distance at which they were made, so a queue that has been worked through is not filled again at once. One slow refusal counts as a crowd (two before), except as the first failure, which may be a watch that discovery has ended. RetryDelay knows the crowd, too.

The test CrowdedDiscoveryIsCalledLessOften asked for the delay of up to 7.1 s, which breaks the rule. It is replaced: for 1, 2, 3 and 100 refusals the next call comes no sooner than before (4.75 s) and no later than 5.5 s.

--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -17,13 +17,10 @@
 // doubles. They are few, so that a discovery service that is down for all gateways gets few of them.
 constexpr int kMaxOverdueRetries = 4;
 constexpr Millis kInitialOverdueRetryDelayMs = 100;
-// A call that is refused after this time was queued at discovery. After several of them discovery is taken to
-// have more calls than it can answer: it works through calls that have timed out, too, so more calls would
-// leave it time for none. The time at which a change counts as known has passed by then.
+// A call that is refused after this time was queued at discovery, which has more calls than it can answer. It
+// works through calls that have timed out, too, so calls that follow one another quickly would leave it time
+// for none.
 constexpr Millis kSlowRefusalMs = 500;
-constexpr int kSlowRefusalsOfCrowd = 2;
-// The next call then comes after max_retry_interval to this multiple of it, from the failure on.
-constexpr double kCrowdedRetryFactor = 1.5;
 constexpr Millis kMinRetryDelayMs = 20;  // keeps failed calls from following one another without a pause
 // Keeps the exponent in range; every delay has reached its bound by then.
 constexpr int kMaxDoublings = 16;
@@ -56,7 +53,7 @@
   times.max_response_timeout = 150;
   times.connect_timeout = 200;
   times.initial_retry_delay = times.max_retry_delay = 50;
-  times.max_retry_interval = 250;
+  times.max_retry_interval = times.crowded_retry_delay = 250;
   return times;
 }
 
@@ -100,22 +97,36 @@
   const Millis delay =
       ExponentialDelay(times_.initial_retry_delay, failed_.calls - 1, times_.max_retry_delay) *
       (0.5 + uniform);
-  return std::max(kMinRetryDelayMs, std::min(delay, retry_.latest));
+  const Millis longest = std::min(1.5 * times_.max_retry_delay, retry_.latest);
+  return std::max(kMinRetryDelayMs, std::min(longest, std::max(delay, retry_.earliest)));
 }
 
-bool WatchSchedule::IsCrowded() const { return failed_.slow_refusals >= kSlowRefusalsOfCrowd; }
-
 void WatchSchedule::CountFailure(WatchFailure failure, Millis elapsed) {
   ++failed_.calls;
   failed_.timeouts = failure == WatchFailure::kTimeout ? failed_.timeouts + 1 : 0;
-  if (failure == WatchFailure::kErrorStatus && elapsed >= kSlowRefusalMs) ++failed_.slow_refusals;
+  // The first failure may be a watch that discovery has ended after most of its wait.
+  const bool is_slow_refusal =
+      failure == WatchFailure::kErrorStatus && elapsed >= kSlowRefusalMs && failed_.calls > 1;
+  if (is_slow_refusal) ++failed_.slow_refusals;
   const bool is_silent_watch = failed_.calls == 1 && failure == WatchFailure::kTimeout;
   const bool is_broken_response = failure == WatchFailure::kTruncated || failure == WatchFailure::kMalformed;
   failed_.is_overdue = failed_.is_overdue || is_silent_watch || is_broken_response;
 }
 
+// As late as the list may be asked for: the first slow refusal leaves what remains since that call was sent.
+// Once discovery has refused several in a row, it could not be reached before the last refusal. The delay is
+// not random, so that calls keep the distance at which they were made: a queue that has been worked through
+// is not filled again at once.
+Millis WatchSchedule::CrowdedRetryDelay(Millis elapsed) const {
+  if (failed_.slow_refusals > 1) return times_.crowded_retry_delay;
+  return std::max(0.0, times_.max_retry_interval - elapsed);
+}
+
 RetryWindow WatchSchedule::RetryAfter(WatchFailure failure, Millis elapsed) {
-  if (IsCrowded()) return {times_.max_retry_interval, kCrowdedRetryFactor * times_.max_retry_interval};
+  if (failed_.slow_refusals > 0) {
+    const Millis delay = CrowdedRetryDelay(elapsed);
+    return {delay, delay};
+  }
   // A watch that discovery ends has delivered all changes up to then. Any other call has missed those that
   // came while it was out.
   const bool is_ended_watch =
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -45,9 +45,11 @@
   Millis initial_retry_delay = 200;
   Millis max_retry_delay = 3000;
   // From the start of a call that fails to the start of the next one; from its end if it was a watch that
-  // discovery ended. Longer while discovery seems crowded. Also the longest time-out of a call after a failed
-  // one.
+  // discovery ended. Also the longest time-out of a call after a failed one.
   Millis max_retry_interval = kMaxWatchRetryDelayMs;
+  // From the end of a call to the start of the next one, after several calls that discovery has refused from
+  // its queue.
+  Millis crowded_retry_delay = 5400;
 
   // For lists that are pushed to an agent on the gateway's own machine, which answers at once and at no cost.
   // A change counts as known as soon as the agent has it, so an agent that was silent must be noticed within
@@ -121,8 +123,8 @@
   int consecutive_failures() const { return failed_.calls; }
 
  private:
-  // Whether discovery seems to get more calls than it can answer.
-  bool IsCrowded() const;
+  // The delay after a failure while discovery gets more calls than it can answer.
+  Millis CrowdedRetryDelay(Millis elapsed) const;
   void CountFailure(WatchFailure failure, Millis elapsed);
   // Retry() after a counted call that failed `elapsed` ms after it was sent.
   RetryWindow RetryAfter(WatchFailure failure, Millis elapsed);
@@ -137,7 +139,7 @@
   struct FailedCalls {
     int calls = 0;
     int timeouts = 0;       // the last ones, in a row
-    int slow_refusals = 0;  // that were queued at discovery
+    int slow_refusals = 0;  // from discovery's queue
     // Changes may have been missed, and count as known soon: a watch was silent, a response was broken off,
     // or the address has changed. The next calls after a failure are then made at short intervals.
     bool is_overdue = false;
--- a/tests/discovery_crowd_test.cpp
+++ b/tests/discovery_crowd_test.cpp
@@ -29,6 +29,8 @@
   Millis max_queue;   // beyond this much work a call is refused at once
   Millis down_until;  // calls before fail at once
   Millis busy_until = 0;
+  Millis refuses_until = 0;  // calls before wait in the queue for `refused_after` and are refused
+  Millis refused_after = 0;
 
   struct Response {
     Millis at;
@@ -36,6 +38,7 @@
   };
   Response Call(Millis now) {
     if (now < down_until) return {now, false};
+    if (now < refuses_until) return {now + refused_after, false};
     if (busy_until - now > max_queue) return {now, false};
     busy_until = std::max(busy_until, now) + call_cost;
     if (busy_until > now + timeout) return {now + timeout, false};
@@ -122,7 +125,7 @@
 // Guards servers that are removed during an outage of discovery against new work from any gateway of a fleet,
 // where discovery can answer all of them in the time that there is.
 TEST(DiscoveryCrowd, AllGatewaysKnowTheListInTimeAfterAnOutage) {
-  for (const int gateways : {1, 2, 20, 181, 300}) {
+  for (const int gateways : {1, 2, 20, 60, 181, 300, 900}) {
     for (const Millis outage : {500, 3300, 8000, 12700}) {
       // All gateways' calls together take it 2 s.
       const QueueingService service{2000.0 / gateways, 3000, 3000, outage};
@@ -136,7 +139,7 @@
 // gateways that call too often would get no answer at all.
 TEST(DiscoveryCrowd, SlowDiscoveryAnswersAllGatewaysInTheEnd) {
   constexpr Millis kHalfAMinute = 30000;
-  for (const int gateways : {20, 181, 300}) {
+  for (const int gateways : {20, 60, 181, 300, 900}) {
     for (const Millis outage : {500, 3300, 8000, 12700}) {
       const QueueingService service{8000.0 / gateways, 2000, 5000, outage};
       EXPECT_LE(TimeUntilAllKnow(gateways, service), kHalfAMinute)
@@ -145,5 +148,22 @@
   }
 }
 
+// Guards servers that are removed just after discovery has refused calls from its queue, however many of them
+// in a row, against new work from any gateway of a fleet. Discovery then answers all calls together in half a
+// second.
+TEST(DiscoveryCrowd, AllGatewaysKnowTheListInTimeAfterRefusalsFromTheQueue) {
+  constexpr Millis kRefusedAfter = 1000, kTimeForAllCalls = 500;
+  for (const int gateways : {1, 60, 181, 900}) {
+    for (const Millis refusing : {1500, 8000, 15000, 40000}) {
+      QueueingService service{kTimeForAllCalls / gateways, 3000, 3000, 0};
+      service.refuses_until = refusing;
+      service.refused_after = kRefusedAfter;
+      const Millis last_refusal = refusing + kRefusedAfter;
+      EXPECT_LE(TimeUntilAllKnow(gateways, service) - last_refusal, kLatestEffect)
+          << gateways << " gateways, " << refusing << " ms";
+    }
+  }
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -245,25 +245,38 @@
   EXPECT_GT(schedule.Retry().latest, 4000);  // discovery has ended the watch, so nothing is missed
 }
 
-// Guards discovery against calls that it can't answer: after two refusals in its queue, the time by which the
-// list had to be known has passed in any case. A quick refusal or a silent discovery is no crowd.
-TEST(WatchSchedule, CrowdedDiscoveryIsCalledLessOften) {
-  WatchSchedule schedule(41);
-  const Millis interval = schedule.times().max_retry_interval;
-  const auto fail = [&schedule](WatchFailure failure, Millis elapsed) {
-    schedule.BeginCall(0.5);
-    schedule.RecordFailure(failure, elapsed, "");
-    return schedule.Retry().latest;
-  };
-  fail(WatchFailure::kClosed, 3000);
-  for (int i = 0; i < 3; ++i) EXPECT_EQ(fail(WatchFailure::kErrorStatus, 10), interval - 10);
-  for (int i = 0; i < 3; ++i) EXPECT_EQ(fail(WatchFailure::kTimeout, 3000), interval - 3000);
-  EXPECT_EQ(fail(WatchFailure::kErrorStatus, 2000), interval - 2000);
-  EXPECT_EQ(fail(WatchFailure::kErrorStatus, 2000), 1.5 * interval);
-  EXPECT_EQ(schedule.Retry().earliest, interval);
-  schedule.RecordSuccess(100, true);
-  fail(WatchFailure::kClosed, 3000);
-  EXPECT_EQ(fail(WatchFailure::kErrorStatus, 2000), interval - 2000);
+// Guards discovery against calls that it can't answer, and servers that are removed after refusals against
+// new work: the next call after refusals in discovery's queue, however many, comes as late as it may, and not
+// later than in time for a change that is made after the last of them. A quick refusal or a silent discovery
+// is no crowd.
+TEST(WatchSchedule, CrowdedDiscoveryIsCalledRarelyButInTimeAfterAnyNumberOfRefusals) {
+  constexpr Millis kKnownAfterReachable = 6000, kLeftForTheCall = 500;
+  for (const int refusals : {1, 2, 3, 100}) {
+    for (const Millis elapsed : {500, 1000, 2000, 4700}) {
+      SCOPED_TRACE(std::to_string(refusals) + " refusals after " + std::to_string(elapsed));
+      WatchSchedule schedule(41);
+      const Millis interval = schedule.times().max_retry_interval;
+      const auto fail = [&schedule](WatchFailure failure, Millis after) {
+        schedule.BeginCall(0.5);
+        schedule.RecordFailure(failure, after, "");
+        return schedule.Retry().latest;
+      };
+      fail(WatchFailure::kClosed, 3000);
+      for (int i = 0; i < 3; ++i) EXPECT_EQ(fail(WatchFailure::kErrorStatus, 10), interval - 10);
+      for (int i = 0; i < 3; ++i) EXPECT_EQ(fail(WatchFailure::kTimeout, 3000), interval - 3000);
+      EXPECT_EQ(fail(WatchFailure::kErrorStatus, elapsed), interval - elapsed);
+      EXPECT_EQ(schedule.Retry().earliest, interval - elapsed);
+      for (int i = 1; i < refusals; ++i) {
+        EXPECT_LE(fail(WatchFailure::kErrorStatus, elapsed), kKnownAfterReachable - kLeftForTheCall);
+        EXPECT_GE(schedule.Retry().earliest, interval);
+        EXPECT_GE(schedule.RetryDelay(0), 4500);
+        EXPECT_LE(schedule.RetryDelay(1), kKnownAfterReachable - kLeftForTheCall);
+      }
+      schedule.RecordSuccess(100, true);
+      fail(WatchFailure::kClosed, 3000);
+      EXPECT_EQ(fail(WatchFailure::kErrorStatus, elapsed), interval - elapsed);
+    }
+  }
 }
 
 // Guards servers that are removed during an outage against new work after it: the time that a call takes to
--- a/tests/membership_deadline_test.cpp
+++ b/tests/membership_deadline_test.cpp
@@ -222,6 +222,25 @@
   ExpectNoLateRequestsAfterOutage(12, 2, Reaction::kErrorStatus, milliseconds(1500));
 }
 
+// Guards servers that are removed just after discovery has refused calls from its queue, however many in a
+// row.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterSeveralCallsThatWereRefusedInTheQueue) {
+  static constexpr milliseconds kRefusedAfter(1000);
+  int refusals = 1;
+  Start(12, SettingsFor(1), [&, this](WatchedGateway& gateway) {
+    gateway.discovery.react = [&gateway, refused = refusals](int call) {
+      gateway.discovery.delay = call <= refused ? kRefusedAfter : milliseconds(1);
+      return call <= refused ? Reaction::kErrorStatus : Reaction::kServe;
+    };
+    gateway.discovery.on_refused = [&gateway, this, refused = refusals](int call) {
+      if (call == refused) RemoveFirstHost(gateway, kKnownAfterReachable);
+    };
+    refusals = refusals % 3 + 1;
+  });
+  RunUntilAllKnow();
+  ExpectNoLateRequests();
+}
+
 // Guards servers that are removed while a watch is silent: the failed call behind it must not use up the time
 // that is left.
 TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterASilentWatchAndFailedCalls) {
--- a/tests/standins/discovery_service.hpp
+++ b/tests/standins/discovery_service.hpp
@@ -49,7 +49,8 @@
 
   // Called for each call, counted from 1, to choose what happens to it. All are served if it is not set.
   std::function<Reaction(int call)> react;
-  std::chrono::milliseconds delay{5};  // before each response or failure
+  std::function<void(int call)> on_refused;  // called after each 503
+  std::chrono::milliseconds delay{5};        // before each response or failure
 
   // How long the last call asked to wait for news.
   std::chrono::milliseconds last_wait() const { return last_wait_; }
@@ -76,7 +77,11 @@
     switch (reaction) {
       case Reaction::kServe: return OnServedCall(call);
       case Reaction::kReset: return After(delay, [call] { call.connection->Reset(); });
-      case Reaction::kErrorStatus: return After(delay, [call] { call.Answer(503, ""); });
+      case Reaction::kErrorStatus:
+        return After(delay, [this, call, number = calls_] {
+          call.Answer(503, "");
+          if (on_refused) on_refused(number);
+        });
       case Reaction::kStaySilent: return;
       case Reaction::kServeOnReturn: silent_calls_.push_back(call); return;
     }
