Hosts: a new process at an address gets new connections

Shown in part: the idle connections to a host were kept when the list told of a newer start of the same id at the same address. Where the old process had vanished silently, a request written to one was reset by the new process, may have run for all the gateway knew, and an unsafe one failed.

Change: a new start time closes the idle connections, as a new address does.

Evidence: HostPool.ANewProcessAtTheAddressGetsNewConnections fails without the change and passes with it.

--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -334,8 +334,11 @@
   for (const Host& entry : list.hosts) {
     HostState& host = hosts_.try_emplace(entry.server.id, QuietPeriod(limits_.quiet_period)).first->second;
     host.is_up = entry.server.state == ServerState::kUp;
-    if (host.address != entry.address) CloseIdleConnections(host);
+    // A new process knows nothing of the connections of the one before it, which may have vanished silently.
+    const bool is_other_process = host.address != entry.address || host.started_at != entry.server.started_at;
+    if (is_other_process) CloseIdleConnections(host);
     host.address = entry.address;
+    host.started_at = entry.server.started_at;
   }
   for (auto& [id, host] : hosts_) {
     if (!host.is_up) CloseIdleConnections(host);
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -82,6 +82,7 @@
     explicit HostState(QuietPeriod initial_quiet_period) : quiet_period(initial_quiet_period) {}
 
     boost::asio::ip::tcp::endpoint address;
+    Millis started_at = 0;  // of its process, as the list says
     bool is_up = false;
     bool is_new = true;  // until the end of the update that lists it first
     QuietPeriod quiet_period;
--- a/tests/host_pool_test.cpp
+++ b/tests/host_pool_test.cpp
@@ -262,6 +262,27 @@
   EXPECT_EQ(host.ReceivedBytes(), 0u);
 }
 
+// Guards requests against the idle connections of a process that has vanished: a new one at its address,
+// under the same id or another, would reset them, and a request written to one may have run.
+TEST(HostPool, ANewProcessAtTheAddressGetsNewConnections) {
+  for (const char* const id : {"h0", "h1"}) {
+    SCOPED_TRACE(id);
+    PoolHarness harness(LimitsWithQuietPeriod(0));
+    harness.Answer(harness.Start(), "");
+    EXPECT_EQ(harness.pool.connections(), 1u);
+    gateway::HostList list;
+    list.hosts = {{MakeHost(id), harness.host.address()}};
+    list.hosts[0].server.started_at = 1000;
+    harness.pool.Update(list);
+    EXPECT_EQ(harness.pool.connections(), 0u);
+    harness.pool.Update(list);
+    const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
+    harness.pool.Start(id, request, {gateway::Now() + 60000}, [](Result, HttpResponse) {});
+    EXPECT_TRUE(RunUntil(harness.io, [&] { return harness.host.requests.size() == 2; }));
+    EXPECT_EQ(harness.host.connections.size(), 2u);
+  }
+}
+
 // Guards the connection limit: beyond it an attempt ends as not sent, unless an idle connection can be
 // closed.
 TEST(HostPool, EnforcesItsConnectionLimit) {
