Pools: a request that may have run does not run again under the same id

Shown: an unsafe request was cancelled when its client closed, its id forgotten with it, and the same request on a new connection was sent to a host again.

A request that comes again is answered 409, as failed. Safe classes are not concerned. In a services file, where ordinary clients may use an id again after an answer, only requests whose client left without one are remembered.

--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -85,11 +85,11 @@
       policy_(options_.settings, options_.seed),
       host_pool_(io, options_.upstream, [this](const std::string& line) { Execute(Log{line}); }),
       loss_recorder_(options_.settings.classes) {
-  for (const ClassSettings& cls : options_.settings.classes) aim_by_class_[cls.name] = cls.aim;
+  for (const ClassSettings& cls : options_.settings.classes) classes_[cls.name] = {cls.aim, cls.effect};
 }
 
 void Pool::Submit(ClientRequest&& request) {
-  if (requests_.contains(request.id)) {  // the module identifies requests by id
+  if (IsIdInUse(request)) {
     HttpResponse response(http::status::conflict, 11);
     response.body() = "Req-Id is in use\n";
     response.keep_alive(false);
@@ -102,8 +102,8 @@
   pending.admission = std::move(request.admission);
   pending.class_name = request.class_name;
   pending.received_at = request.received;
-  const auto aim = aim_by_class_.find(request.class_name);
-  pending.aim_deadline = request.received + (aim == aim_by_class_.end() ? 0 : aim->second);
+  const auto class_traits = classes_.find(request.class_name);
+  pending.aim_deadline = request.received + (class_traits == classes_.end() ? 0 : class_traits->second.aim);
   const Millis client_gives_up = request.received + request.client_timeout;
   const Millis margin = std::min(kResponseMarginMs, kResponseMarginFraction * request.client_timeout);
   pending.response_deadline = client_gives_up - margin;
@@ -116,6 +116,25 @@
                       pending.response_deadline - Now(), request.is_retry, request.cost});
 }
 
+bool Pool::IsIdInUse(const ClientRequest& request) {
+  // The module identifies requests by id.
+  return requests_.contains(request.id) || executed_requests_.Contains(request.id, Now());
+}
+
+// Ids are unique on the platform, also those of clients' retries. Ordinary clients may use an id again for a
+// new attempt of theirs after an answer, so there only requests without an answer are remembered.
+void Pool::RememberIfExecuted(const std::string& id, const PendingRequest& pending) {
+  if (options_.plain && !pending.has_client_left) return;
+  const auto class_traits = classes_.find(pending.class_name);
+  if (class_traits != classes_.end() && class_traits->second.effect == Effect::kSafe) return;
+  const auto may_have_run = [](const Attempt& attempt) {
+    return attempt.result != Result::kRejected && attempt.result != Result::kConnectFailed &&
+           attempt.result != Result::kNotSent;
+  };
+  if (std::any_of(pending.attempts.begin(), pending.attempts.end(), may_have_run))
+    executed_requests_.Add(id, Now());
+}
+
 void Pool::UpdateMembership(const HostList& list) {
   // Before the module reacts: it must not send to a host that is gone.
   const HostChanges changes = host_pool_.Update(list);
@@ -348,6 +367,7 @@
   const auto& attempts = found->second.attempts;
   if (std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.in_flight; })) {
     LogUnservedRequest(id, found->second);
+    RememberIfExecuted(id, found->second);
     requests_.erase(found);
     if (requests_.empty() && on_idle_) asio::post(io_, on_idle_);
   }
@@ -361,6 +381,7 @@
   if (PendingRequest* const pending = FindRequest(id)) {
     if (!pending->is_answered) RecordOutcome(*pending, ledger::RequestOutcome::kGone, "");
     pending->is_answered = true;  // no response is to be sent any more
+    pending->has_client_left = true;
     pending->http.reset();
     pending->admission.reset();
     pending->deadline_timer.cancel();
--- a/src/gateway/pool.hpp
+++ b/src/gateway/pool.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "gateway/client_request.hpp"
+#include "ledger/executed_requests.hpp"
 #include "ledger/losses.hpp"
 #include "limits/log_throttle.hpp"
 #include "membership/host_list.hpp"
@@ -84,6 +85,7 @@
     Millis received_at = 0, aim_deadline = 0;  // a response after aim_deadline is late
     Millis response_deadline = 0;              // the module must have answered by then
     bool is_answered = false;
+    bool has_client_left = false;
     // How it ended, once it has, and why if it was refused or has failed.
     ledger::RequestOutcome outcome = ledger::RequestOutcome::kInTime;
     std::string cause;
@@ -124,6 +126,11 @@
   void LogUnservedRequest(const std::string& id, const PendingRequest& pending);
   // Writes the log lines "losses ..." and "hosts ..." if they are due.
   void LogLosses();
+  // Whether a request with this id must not be sent: one is in progress, or has ended lately and may have
+  // run.
+  bool IsIdInUse(const ClientRequest& request);
+  // Remembers the id of an ended request if the same request, sent again, might run a second time.
+  void RememberIfExecuted(const std::string& id, const PendingRequest& pending);
   // Forgets the request if it is answered and no attempt is in flight.
   void EraseIfFinished(const std::string& id);
 
@@ -136,7 +143,12 @@
   std::deque<Event> events_;
   ledger::LossRecorder loss_recorder_;
   limits::LogThrottle request_log_throttle_;
-  std::unordered_map<std::string, Millis> aim_by_class_;
+  struct ClassTraits {
+    Millis aim = 0;
+    Effect effect = Effect::kUnsafe;
+  };
+  std::unordered_map<std::string, ClassTraits> classes_;
+  ledger::ExecutedRequests executed_requests_;
   bool handling_events_ = false;
   bool has_hosts_ = false;
   std::function<void()> on_idle_;
--- a/tests/client_disconnect_test.cpp
+++ b/tests/client_disconnect_test.cpp
@@ -270,5 +270,52 @@
   }
 }
 
+// Guards unsafe and keyed requests against running twice where the client has lost its connection and sends
+// the same request again on a new one.
+TEST(ClientDisconnect, ARequestThatComesAgainAfterItsClientLeftDoesNotRunTwice) {
+  for (const bool can_cancel : {true, false}) {
+    for (const std::string class_name : {"pay", "key", "view"}) {
+      SCOPED_TRACE(class_name + (can_cancel ? ", can cancel" : ", cannot cancel"));
+      nlohmann::json settings = TestSettings();
+      settings["limits"]["cancelling"] = can_cancel;
+      GatewayHarness harness(1, settings);
+      const std::string request =
+          ApiRequest("r1", class_name, "20000m", "", class_name == "key" ? "Idempotency-Key: k1\r\n" : "");
+      SteppedClient first(harness.gateway->address());
+      first.Send(request);
+      ASSERT_TRUE(harness.Until([&] { return harness.host().requests.size() == 1; }));
+      first.Disconnect();
+      const auto& attempt = harness.host().requests[0].connection;
+      if (can_cancel) ASSERT_TRUE(harness.Until([&] { return attempt->ended; }));
+      if (!can_cancel) harness.host().requests[0].Answer(200, "");
+      ASSERT_TRUE(harness.Until([&] { return harness.io.poll_one() == 0; }));
+      harness.host().serve = [](const Peer::ReceivedRequest& again) { again.Answer(200, "again"); };
+      const auto second = harness.Connect();
+      second->Send(request);
+      const bool is_safe = class_name == "view";
+      EXPECT_EQ(second->Await().result(), is_safe ? http::status::ok : http::status::conflict);
+      EXPECT_EQ(harness.host().requests.size(), is_safe ? 2u : 1u);
+    }
+  }
+}
+
+// Guards a client whose request no host can have run: it may send it again.
+TEST(ClientDisconnect, ARequestThatNeverRanMayComeAgain) {
+  GatewayHarness harness;
+  harness.host().serve = [&](const Peer::ReceivedRequest& request) {
+    request.Answer(503, "", "Srv-Declined", "1");
+  };
+  const auto first = harness.Connect();
+  first->Send(ApiRequest("r1", "pay"));
+  EXPECT_EQ(first->Await().result(), http::status::service_unavailable);
+  harness.host().serve = [](const Peer::ReceivedRequest& request) { request.Answer(200, ""); };
+  ASSERT_TRUE(harness.Until([&] {
+    const auto again = harness.Connect();
+    again->Send(ApiRequest("r1", "pay"));
+    EXPECT_NE(again->Await().result(), http::status::conflict);
+    return again->Await().result() == http::status::ok;
+  }));
+}
+
 }  // namespace
 }  // namespace opalswitch::testing
