Messages: at most 100 fields, so that heads of short fields hold no memory

Provoked: 500 clients with heads of 3,000 short fields and half a body took the platform's gateway to 149.6 MB of its 192.

Cause: a parsed field takes about a hundred bytes however short it is; only the bytes of a head were limited, so each connection could hold some 300 KB.

Change: a message has 100 fields at most, trailers included; a request with more gets 431, a host's response counts as a reset.

HttpServer.RefusesARequestWithTooManyFields guards the limit.

--- a/src/base/http_types.hpp
+++ b/src/base/http_types.hpp
@@ -8,7 +8,9 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +34,14 @@
 // Default limit of a body, and limit of a header, of requests and responses.
 constexpr std::uint64_t kMaxBodyBytes = 64 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
+// Limit of the number of fields of a message, trailers included. A parsed field takes some ten times the
+// memory of a short one's text.
+constexpr std::ptrdiff_t kMaxFields = 100;
+
+template <typename Fields>
+bool HasTooManyFields(const Fields& fields) {
+  return std::distance(fields.begin(), fields.end()) > kMaxFields;
+}
 
 // Whether a header applies to a single connection and must not be forwarded (RFC 9110 section 7.6.1).
 // Transfer-Encoding is among them: the body is framed again for the next connection.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -241,6 +241,7 @@
   // for bodies.
   void OnHeaderRead() {
     const HttpRequest& head = parser_->get();
+    if (HasTooManyFields(head)) return HandleParseError(http::error::header_limit);
     if (const auto reply = ValidateMessage(head, target_)) return RespondAndClose(*reply);
     ClientRequest& request = request_.emplace();
     is_health_check_ = !server_.health_path_.empty() && target_.path == server_.health_path_ &&
@@ -279,6 +280,7 @@
   }
 
   void SubmitRequest() {
+    if (HasTooManyFields(parser_->get())) return HandleParseError(http::error::header_limit);  // trailers
     HttpRequest http = parser_->release();
     keep_alive_ = http.keep_alive();
     http_version_ = http.version();
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -241,6 +241,7 @@
   void OnHeaderRead(error_code ec) {
     if (ec) return Fail(Result::kReset);
     const auto& head = parser_->get();
+    if (HasTooManyFields(head)) return Fail(Result::kReset);
     if (head.result_int() / 100 == 1) {  // by number: Beast's enum does not contain all of them
       if (++interim_responses_ > kMaxInterimResponses || head.result() == http::status::switching_protocols) {
         return Fail(Result::kReset);
--- a/tests/gateway_process.hpp
+++ b/tests/gateway_process.hpp
@@ -58,6 +58,7 @@
     std::string seed = "1f";  // of the decision module, in hex
     tcp::endpoint discovery;
     Process::Variables variables;  // added to its environment
+    nlohmann::json limits;         // of the configuration; null: none are given
   };
 
   // With a discovery service that never answers. Returns once the gateway listens.
@@ -86,7 +87,7 @@
                  const std::vector<tcp::endpoint>& hosts, nlohmann::json settings,
                  Process::Variables variables)
       : GatewayProcess(
-            io, Options{hosts, std::move(settings), "1f", discovery->address(), std::move(variables)}) {
+            io, Options{hosts, std::move(settings), "1f", discovery->address(), std::move(variables), {}}) {
     discovery_ = std::move(discovery);
     // It listens before it calls discovery.
     EXPECT_TRUE(RunUntil(io, [&] { return discovery_->requests.size() == 1 || process_.HasExited(); }));
@@ -100,6 +101,7 @@
     return nlohmann::json{{"seed", options_.seed},
                           {"discovery", ToText(discovery)},
                           {"known", List(1, true, members)},
+                          {"limits", options_.limits.is_null() ? nlohmann::json::object() : options_.limits},
                           {"settings", options_.settings}}
         .dump();
   }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -38,6 +38,32 @@
   EXPECT_TRUE(half.AwaitEnd());
 }
 
+// Guards memory against messages of many fields, in the header or behind the body: a parsed field takes a
+// multiple of its text.
+TEST(HttpServer, RefusesARequestWithTooManyFields) {
+  const auto fields = [](int count) {
+    std::string text;
+    for (int i = 0; i < count; ++i) text += "a:b\r\n";
+    return text;
+  };
+  const auto maximum = static_cast<int>(gateway::kMaxFields) - 1;  // Host is one, too
+  for (const auto& [count, expected] : {std::pair(maximum, http::status::ok),
+                                        std::pair(maximum + 1, http::status::request_header_fields_too_large),
+                                        std::pair(3000, http::status::request_header_fields_too_large)}) {
+    asio::io_context io;
+    gateway::HttpServer server(io, {}, {[] { return true; }, AdmitAll}, "/up");
+    Client client(io, server.Listen("", Loopback()));
+    client.Send("GET /up HTTP/1.1\r\nHost: b\r\n" + fields(count) + "\r\n");
+    EXPECT_EQ(client.Await().result(), expected) << count;
+  }
+  asio::io_context io;
+  gateway::HttpServer server(io, {}, {[] { return true; }, AdmitAll}, "/up");
+  Client client(io, server.Listen("", Loopback()));
+  client.Send("POST /api HTTP/1.1\r\nHost: b\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields(3000) +
+              "\r\n");
+  EXPECT_EQ(client.Await().result(), http::status::request_header_fields_too_large);
+}
+
 // Guards clients between requests against many clients that connect and send nothing: those are closed first.
 TEST(HttpServer, EvictsSilentConnectionsBeforeIdleKeepAliveOnes) {
   asio::io_context io;
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -77,6 +77,14 @@
     if (!has_exited_) has_exited_ = waitpid(pid_, &status_, 0) == pid_;
     return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
   }
+  // The most memory that the program has used so far, in MB (VmHWM); 0 if it has exited.
+  double PeakMemoryMb() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with("VmHWM:")) return std::stod(line.substr(6)) / 1024;
+    }
+    return 0;
+  }
   std::string StandardError() const {
     std::stringstream text;
     text << std::ifstream(stderr_path_).rdbuf();
