--- a/tests/client_disconnect_test.cpp
+++ b/tests/client_disconnect_test.cpp
@@ -217,7 +217,9 @@
         ASSERT_TRUE(harness.Until([&] { return client.HasReceived("refused\n", i + 1); }));
       }
       const auto served_before = harness.host.requests.size();
-      if (refused == 0) ASSERT_TRUE(harness.Until([&] { return harness.server.connections() == 1; }));
+      if (refused == 0) {
+        ASSERT_TRUE(harness.Until([&] { return harness.server.connections() == 1; }));
+      }
       std::string text;
       for (int i = 0; i < unread; ++i) text += ApiRequest("late" + std::to_string(i), "pay");
       if (!text.empty()) client.Send(text);
@@ -286,8 +288,11 @@
       ASSERT_TRUE(harness.Until([&] { return harness.host().requests.size() == 1; }));
       first.Disconnect();
       const auto& attempt = harness.host().requests[0].connection;
-      if (can_cancel) ASSERT_TRUE(harness.Until([&] { return attempt->ended; }));
-      if (!can_cancel) harness.host().requests[0].Answer(200, "");
+      if (can_cancel) {
+        ASSERT_TRUE(harness.Until([&] { return attempt->ended; }));
+      } else {
+        harness.host().requests[0].Answer(200, "");
+      }
       ASSERT_TRUE(harness.Until([&] { return harness.io.poll_one() == 0; }));
       harness.host().serve = [](const Peer::ReceivedRequest& again) { again.Answer(200, "again"); };
       const auto second = harness.Connect();
