--- a/tests/discovery_crowd_test.cpp
+++ b/tests/discovery_crowd_test.cpp
@@ -165,6 +165,8 @@
 INSTANTIATE_TEST_SUITE_P(Fleets, RefusingDiscovery,
                          ::testing::Combine(::testing::Values(1, 60, 181, 900),
                                             ::testing::Values(1500, 8000, 15000, 25000)));
+INSTANTIATE_TEST_SUITE_P(LongRefusal, RefusingDiscovery,
+                         ::testing::Combine(::testing::Values(1, 60, 181), ::testing::Values(40000)));
 
 }  // namespace
 }  // namespace opalswitch::testing
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -268,6 +268,8 @@
       EXPECT_EQ(schedule.Retry().earliest, interval - elapsed);
       for (int i = 1; i < refusals; ++i) {
         EXPECT_LE(fail(WatchFailure::kErrorStatus, elapsed), kKnownAfterReachable - kLeftForTheCall);
+        EXPECT_EQ(schedule.Retry().latest, schedule.times().crowded_retry_delay);
+        EXPECT_EQ(schedule.Retry().earliest, schedule.Retry().latest);
         EXPECT_GE(schedule.Retry().earliest, interval);
         EXPECT_GE(schedule.RetryDelay(0), 4500);
         EXPECT_LE(schedule.RetryDelay(1), kKnownAfterReachable - kLeftForTheCall);
@@ -298,7 +300,7 @@
       const WatchFailure failure = kinds[random() % kinds.size()];
       Millis elapsed = schedule.ResponseTimeout() * (failure == WatchFailure::kTimeout ? 1 : uniform());
       if (failure == WatchFailure::kErrorStatus) {
-        // Several refusals that come slowly are the subject of CrowdedDiscoveryIsCalledLessOften.
+        // Several refusals that come slowly are the subject of CrowdedDiscoveryIsCalledRarelyButInTime...
         if (std::exchange(was_refused, true)) elapsed = std::min(elapsed, 400.0);
       }
       schedule.RecordFailure(failure, elapsed, "");
