--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -107,6 +107,11 @@
   kNotSent,        // the gateway could not send it; never ran
 };
 
+// Whether a request whose attempt ended so may have been executed.
+constexpr bool MayHaveRun(Result result) {
+  return result != Result::kRejected && result != Result::kConnectFailed && result != Result::kNotSent;
+}
+
 // The end of an attempt. Each Send gets exactly one Outcome, even if the request already has its final
 // answer.
 struct Outcome {
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -85,11 +85,11 @@
       policy_(options_.settings, options_.seed),
       host_pool_(io, options_.upstream, [this](const std::string& line) { Execute(Log{line}); }),
       loss_recorder_(options_.settings.classes) {
-  for (const ClassSettings& cls : options_.settings.classes) classes_[cls.name] = {cls.aim, cls.effect};
+  for (const ClassSettings& cls : options_.settings.classes) classes_[cls.name] = &cls;
 }
 
 void Pool::Submit(ClientRequest&& request) {
-  if (IsIdInUse(request)) {
+  if (IsIdInUse(request.id)) {
     HttpResponse response(http::status::conflict, 11);
     response.body() = "Req-Id is in use\n";
     response.keep_alive(false);
@@ -102,8 +102,8 @@
   pending.admission = std::move(request.admission);
   pending.class_name = request.class_name;
   pending.received_at = request.received;
-  const auto class_traits = classes_.find(request.class_name);
-  pending.aim_deadline = request.received + (class_traits == classes_.end() ? 0 : class_traits->second.aim);
+  const auto found = classes_.find(request.class_name);
+  pending.aim_deadline = request.received + (found == classes_.end() ? 0 : found->second->aim);
   const Millis client_gives_up = request.received + request.client_timeout;
   const Millis margin = std::min(kResponseMarginMs, kResponseMarginFraction * request.client_timeout);
   pending.response_deadline = client_gives_up - margin;
@@ -116,21 +116,18 @@
                       pending.response_deadline - Now(), request.is_retry, request.cost});
 }
 
-bool Pool::IsIdInUse(const ClientRequest& request) {
+bool Pool::IsIdInUse(const std::string& id) {
   // The module identifies requests by id.
-  return requests_.contains(request.id) || executed_requests_.Contains(request.id, Now());
+  return requests_.contains(id) || executed_requests_.Contains(id, Now());
 }
 
 // Ids are unique on the platform, also those of clients' retries. Ordinary clients may use an id again for a
 // new attempt of theirs after an answer, so there only requests without an answer are remembered.
 void Pool::RememberIfExecuted(const std::string& id, const PendingRequest& pending) {
   if (options_.plain && !pending.has_client_left) return;
-  const auto class_traits = classes_.find(pending.class_name);
-  if (class_traits != classes_.end() && class_traits->second.effect == Effect::kSafe) return;
-  const auto may_have_run = [](const Attempt& attempt) {
-    return attempt.result != Result::kRejected && attempt.result != Result::kConnectFailed &&
-           attempt.result != Result::kNotSent;
-  };
+  const auto found = classes_.find(pending.class_name);
+  if (found != classes_.end() && found->second->effect == Effect::kSafe) return;
+  const auto may_have_run = [](const Attempt& attempt) { return MayHaveRun(attempt.result); };
   if (std::any_of(pending.attempts.begin(), pending.attempts.end(), may_have_run))
     executed_requests_.Add(id, Now());
 }
--- a/src/gateway/pool.hpp
+++ b/src/gateway/pool.hpp
@@ -128,7 +128,7 @@
   void LogLosses();
   // Whether a request with this id must not be sent: one is in progress, or has ended lately and may have
   // run.
-  bool IsIdInUse(const ClientRequest& request);
+  bool IsIdInUse(const std::string& id);
   // Remembers the id of an ended request if the same request, sent again, might run a second time.
   void RememberIfExecuted(const std::string& id, const PendingRequest& pending);
   // Forgets the request if it is answered and no attempt is in flight.
@@ -143,11 +143,7 @@
   std::deque<Event> events_;
   ledger::LossRecorder loss_recorder_;
   limits::LogThrottle request_log_throttle_;
-  struct ClassTraits {
-    Millis aim = 0;
-    Effect effect = Effect::kUnsafe;
-  };
-  std::unordered_map<std::string, ClassTraits> classes_;
+  std::unordered_map<std::string, const ClassSettings*> classes_;  // of options_, by name
   ledger::ExecutedRequests executed_requests_;
   bool handling_events_ = false;
   bool has_hosts_ = false;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -61,7 +61,8 @@
     socket_.set_option(tcp::no_delay(true), ec);
     socket_.non_blocking(true, ec);
     if (ec) return Close(ConnectionEnd::kSetupFailed, ec);
-    ReadHeader();
+    PrepareParser();
+    ContinueReading();
   }
 
   // Between requests and without unread input, so closing loses no request.
@@ -142,11 +143,6 @@
 
   bool HasPartialRequest() const { return buffer_.size() > 0 || parser_->got_some(); }
 
-  void ReadHeader() {
-    PrepareParser();
-    ContinueReading();
-  }
-
   void PrepareParser() {
     request_id_.clear();
     parser_.emplace();
@@ -171,7 +167,7 @@
   // be destroyed, before the input arrives.
   void ContinueReading() {
     const error_code ec = ParseBuffer();
-    if (!ec) return parser_->eager() ? SubmitRequest() : OnHeaderRead();
+    if (!ec) return parser_->eager() ? OnBodyRead() : OnHeaderRead();
     if (ec != http::error::need_more) return HandleParseError(ec);
     if (buffer_.size() == buffer_.max_size()) return HandleParseError(http::error::buffer_overflow);
     const bool awaits_first_request = responses_sent_ == 0 && !HasPartialRequest();
@@ -279,8 +275,13 @@
                      ec.message()});
   }
 
+  // A chunked body may have brought further fields, as trailers.
+  void OnBodyRead() {
+    if (HasTooManyFields(parser_->get())) return HandleParseError(http::error::header_limit);
+    SubmitRequest();
+  }
+
   void SubmitRequest() {
-    if (HasTooManyFields(parser_->get())) return HandleParseError(http::error::header_limit);  // trailers
     HttpRequest http = parser_->release();
     keep_alive_ = http.keep_alive();
     http_version_ = http.version();
--- a/src/module/attempts.cpp
+++ b/src/module/attempts.cpp
@@ -32,8 +32,7 @@
   if (!std::exchange(attempt.in_flight, false)) return;
   if (!std::isfinite(outcome.latency) || outcome.latency < 0)
     outcome.latency = now_ - attempt.sent_at;  // invalid values must not reach the estimates
-  attempt.may_have_run = outcome.result != Result::kRejected && outcome.result != Result::kConnectFailed &&
-                         outcome.result != Result::kNotSent;
+  attempt.may_have_run = MayHaveRun(outcome.result);
   TrackedServer& server = *attempt.server;
   --server.in_flight;
   --attempts_in_flight_;
--- a/src/module/impl.hpp
+++ b/src/module/impl.hpp
@@ -151,8 +151,9 @@
   double MedianLatency();
   // Expected latency of a further request to the server, for comparison; lower is better.
   double SelectionCost(const TrackedServer& server);
-  // Whether the server drops repeats of the request's earlier attempts, where that is necessary.
+  // The time from which the request must not be sent again; infinite if there is none.
   Millis RepeatDeadline(const ActiveRequest& request) const;
+  // Whether the server drops repeats of the request's earlier attempts, where that is necessary.
   bool IsWithinDeduplicationScope(const ActiveRequest& request, const TrackedServer& server) const;
   // If the server can't take any request now, excludes it in the index until that may have changed, and
   // returns true. Refills its send credit.
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -89,9 +89,6 @@
     std::shared_ptr<const HttpRequest> request;
     AttemptTimes times;
     Completion done;
-
-    // The latest time at which the request may be written.
-    Millis SendDeadline() const { return std::min(times.deadline, times.write_by); }
   };
 
   Connection(HostPool& pool, std::string host, tcp::endpoint address)
@@ -114,7 +111,7 @@
   // Connects within the dial timeout, then sends the request.
   void ConnectAndSend(Exchange exchange) {
     Assign(std::move(exchange));
-    SetTimer(std::min(exchange_->SendDeadline(), Now() + pool_.limits_.dial_timeout));
+    SetTimer(std::min(exchange_->times.SendDeadline(), Now() + pool_.limits_.dial_timeout));
     socket_.async_connect(address_, [self = shared_from_this()](error_code ec) {
       if (self->is_open_) self->OnConnected(ec);
     });
@@ -123,7 +120,7 @@
   // Sends the request on an idle connection.
   void SendOnIdle(Exchange exchange) {
     Assign(std::move(exchange));
-    SetTimer(exchange_->SendDeadline());
+    SetTimer(exchange_->times.SendDeadline());
     StartWrite();
   }
 
@@ -196,7 +193,7 @@
     if (ec) return Fail(Result::kConnectFailed);
     // The host may have started draining, or changed its address, during the connect.
     if (!pool_.IsUsable(host_, address_)) return Fail(Result::kNotSent);
-    SetTimer(exchange_->SendDeadline());
+    SetTimer(exchange_->times.SendDeadline());
     StartWrite();
   }
 
@@ -214,7 +211,7 @@
   // A timeout at any moment must know whether the host can have received the request. The time is checked
   // before each write: a host begins a request with its last byte, which may follow long after the first.
   void ContinueWrite() {
-    if (Now() >= exchange_->SendDeadline()) return Fail(Result::kNotSent);
+    if (Now() >= exchange_->times.SendDeadline()) return Fail(Result::kNotSent);
     if (!writer_.Write(socket_)) return Fail(Result::kConnectFailed);  // the request was not sent completely
     if (writer_.IsDone()) {
       if (exchange_->times.write_by < exchange_->times.deadline) SetTimer(exchange_->times.deadline);
@@ -354,7 +351,7 @@
                               const AttemptTimes& times, Completion done) {
   const std::uint64_t attempt = next_attempt_++;
   const auto found = hosts_.find(host);
-  if (found == hosts_.end() || Now() >= std::min(times.deadline, times.write_by)) {
+  if (found == hosts_.end() || Now() >= times.SendDeadline()) {
     done(Result::kNotSent, {});
     return attempt;
   }
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -61,6 +61,9 @@
     // For the last byte of the request. It is not written after this time, however late the connection came
     // up.
     Millis write_by = std::numeric_limits<Millis>::infinity();
+
+    // The time from which the request must not be written.
+    Millis SendDeadline() const { return deadline < write_by ? deadline : write_by; }
   };
   // Sends the request to a host. Completes with kNotSent if the host is not up, the time to write has passed,
   // or no connection is available. Returns the id of the attempt, for Cancel.
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -7,11 +7,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -99,6 +101,21 @@
   bool has_exited_ = false;
 };
 
+// Waits until a forkwick-control process listens, and returns its port on loopback.
+inline int AwaitControlPort(const Process& process) {
+  const std::string marker = "serves xDS at 127.0.0.1:";
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+  while (std::chrono::steady_clock::now() < end) {
+    const std::string output = process.StandardError();
+    const std::size_t at = output.find(marker);
+    if (at != std::string::npos && output.find('\n', at) != std::string::npos)
+      return std::stoi(output.substr(at + marker.size()));
+    std::this_thread::yield();
+  }
+  ADD_FAILURE() << process.StandardError();
+  return 0;
+}
+
 }  // namespace opalswitch::testing
 
 #endif  // OPALSWITCH_TESTS_PROCESS_HPP_
--- a/tests/xds_command_test.cpp
+++ b/tests/xds_command_test.cpp
@@ -45,19 +45,6 @@
     std::ofstream(folder + "/" + name + ".new") << text;
     std::rename((folder + "/" + name + ".new").c_str(), (folder + "/" + name).c_str());
   }
-  // Waits until the process listens and returns its port.
-  static int PortOf(const Process& process) {
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-    while (std::chrono::steady_clock::now() < end) {
-      const std::string output = process.StandardError(), marker = "serves xDS at 127.0.0.1:";
-      const std::size_t at = output.find(marker);
-      if (at != std::string::npos && output.find('\n', at) != std::string::npos)
-        return std::stoi(output.substr(at + marker.size()));
-      std::this_thread::yield();
-    }
-    ADD_FAILURE() << process.StandardError();
-    return 0;
-  }
   Process::Arguments Run() const { return {{"run", "--config", folder + "/f.toml"}}; }
   std::string Socket() const { return "--socket " + folder + "/s"; }
 
@@ -67,7 +54,7 @@
 TEST(ControlCommand, ServesStatusDrainsAndMembershipChanges) {
   ServiceFolder folder;
   Process process(folder.Run());
-  const int port = ServiceFolder::PortOf(process);
+  const int port = AwaitControlPort(process);
   XdsClient client(port, true, "proxy-1");
   ASSERT_TRUE(ConnectAndReceiveAll(client));
   EXPECT_TRUE(client.HoldsHealthyEndpoint("one", "10.0.0.1"));
@@ -99,7 +86,7 @@
 TEST(ControlCommand, DrainWaitsForAnUnresponsiveProxyAndNamesIt) {
   ServiceFolder folder;
   Process process(folder.Run());
-  XdsClient client(ServiceFolder::PortOf(process), true, "mute");
+  XdsClient client(AwaitControlPort(process), true, "mute");
   client.react = [](ResourceType, auto&) { return XdsClient::Reaction::kNoAnswer; };
   client.Connect();
   client.Subscribe(ResourceType::kEndpoint, {"two"});  // a static pool: no lease ends the wait
@@ -114,7 +101,7 @@
 TEST(ControlCommand, DrainSurvivesAKillAndRestart) {
   ServiceFolder folder;
   std::optional<Process> process(std::in_place, folder.Run());
-  int port = ServiceFolder::PortOf(*process);
+  int port = AwaitControlPort(*process);
   folder.Save("f.toml", ServiceFolder::Text(port));  // the same port after the restart
   XdsClient client(port, true, "proxy-1"), unresponsive(port, true, "deaf");
   ASSERT_TRUE(ConnectAndReceiveAll(client));
@@ -129,7 +116,7 @@
   ASSERT_TRUE(client.Await([&] { return client.has_ended(); }));
   client.Disconnect();
   process.emplace(folder.Run());
-  ASSERT_EQ(ServiceFolder::PortOf(*process), port);
+  ASSERT_EQ(AwaitControlPort(*process), port);
   const ProgramResult drain = RunProgram("drain a --wait " + folder.Socket());
   EXPECT_EQ(drain.exit_code, 0) << drain.output;
   // Its lease expired before the drain ended waiting.
@@ -143,7 +130,7 @@
 TEST(ControlCommand, LoadReportsChangeTheWeights) {
   ServiceFolder folder;
   Process process(folder.Run());
-  const int port = ServiceFolder::PortOf(process);
+  const int port = AwaitControlPort(process);
   XdsClient client(port, true, "proxy-1");
   ASSERT_TRUE(ConnectAndReceiveAll(client));
   const std::uint32_t before = client.Weight("two", "10.0.0.3");
--- a/tests/xds_hostile_proxies_test.cpp
+++ b/tests/xds_hostile_proxies_test.cpp
@@ -61,20 +61,6 @@
     std::rename((folder_ + "/hosts.json.new").c_str(), (folder_ + "/hosts.json").c_str());
   }
 
-  int Port() const {
-    const std::string marker = "serves xDS at 127.0.0.1:";
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-    while (std::chrono::steady_clock::now() < end) {
-      const std::string output = process_->StandardError();
-      const std::size_t at = output.find(marker);
-      if (at != std::string::npos && output.find('\n', at) != std::string::npos)
-        return std::stoi(output.substr(at + marker.size()));
-      std::this_thread::yield();
-    }
-    ADD_FAILURE() << process_->StandardError();
-    return 0;
-  }
-
   static std::vector<std::string> Names(int proxy) {
     std::vector<std::string> names;
     for (int i = 0; i < kNamesPerProxy; ++i) {
@@ -106,7 +92,7 @@
 };
 
 TEST_F(HostileProxies, NamesOfHundredsOfProxiesStayWithinTheMemory) {
-  const int port = Port();
+  const int port = AwaitControlPort(*process_);
   XdsClient usual(port, true, "usual");
   ASSERT_TRUE(ConnectAndReceiveAll(usual));
   std::vector<std::unique_ptr<XdsClient>> hostile;
@@ -123,7 +109,7 @@
 }
 
 TEST_F(HostileProxies, NewNamesWithoutPauseDelayNobody) {
-  const int port = Port();
+  const int port = AwaitControlPort(*process_);
   XdsClient usual(port, true, "usual");
   ASSERT_TRUE(ConnectAndReceiveAll(usual));
   std::atomic<bool> is_done = false;
