Log: the wait of each call of discovery, and each reload with the call that it ends

Change: the line of an ended call has wait_ms; a line for each reload names the address, the abandoned call's age and the list's.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "base/clock.hpp"
+#include "base/endpoint.hpp"
 #include "base/socket_writer.hpp"
 
 namespace opalswitch::gateway {
@@ -28,6 +29,7 @@
   explicit Call(asio::io_context& io) : timer(io) { parser.body_limit(kMaxListBytes); }
   Millis started_at = Now();
   Millis sent_at = started_at;  // of the request, once the connection is up
+  Millis wait = 0;              // how long it asks discovery to wait for news
   asio::steady_timer timer;
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
@@ -59,7 +61,13 @@
 }
 
 void Discovery::SetAddress(const tcp::endpoint& address) {
-  if (address == address_) return;
+  const bool has_moved = address != address_;
+  const Millis now = Now();
+  const std::optional<Millis> abandoned_call_for =
+      has_moved && call_ ? std::optional(now - call_->started_at) : std::nullopt;
+  Log(FormatReloadedAddress(now, FormatEndpoint(address), has_moved, abandoned_call_for,
+                            now - confirmed_at_));
+  if (!has_moved) return;
   address_ = address;
   schedule_.Reset();
   ++address_changes_;
@@ -93,6 +101,7 @@
   call->sent_at = Now();
   call->request.method(http::verb::get);
   call->request.target(schedule_.BeginCall(Uniform()));
+  call->wait = schedule_.wait();
   SetTimeout(call, schedule_.ResponseTimeout(), WatchFailure::kTimeout);
   call->request.set(http::field::host, address_.address().to_string());
   error_code ec;
@@ -182,6 +191,7 @@
   ended.ended_at = now;
   ended.since_previous = call.started_at - std::exchange(last_call_ended_at_, now);
   ended.elapsed = now - call.started_at;
+  ended.wait = call.wait;
   ended.failure = failure;
   ended.detail = detail;
   ended.consecutive_failures = failures;
--- a/src/membership/watch_log.cpp
+++ b/src/membership/watch_log.cpp
@@ -1,6 +1,7 @@
 #include "membership/watch_log.hpp"
 
 #include <bit>
+#include <cmath>
 #include <iomanip>
 #include <sstream>
 #include <utility>
@@ -39,7 +40,7 @@
   line << "discovery call=" << call.number << " at=" << FormatSeconds(call.ended_at) << std::fixed
        << std::setprecision(1) << " ended=" << (call.failure ? FailureName(*call.failure) : "list")
        << " gap_ms=" << call.since_previous << " after_ms=" << call.elapsed
-       << " failures=" << call.consecutive_failures;
+       << " wait_ms=" << std::llround(call.wait) << " failures=" << call.consecutive_failures;
   if (call.revision) line << " revision=" << *call.revision;
   if (!call.failure) line << " hosts=" << call.hosts;
   line << " unconfirmed_ms=" << call.unconfirmed_for;
@@ -47,6 +48,16 @@
   return line.str();
 }
 
+std::string FormatReloadedAddress(Millis now, const std::string& address, bool has_moved,
+                                  std::optional<Millis> abandoned_call_for, Millis unconfirmed_for) {
+  std::ostringstream line;
+  line << "discovery address at=" << FormatSeconds(now) << " reloaded=" << address
+       << " moved=" << (has_moved ? "yes" : "no") << std::fixed << std::setprecision(1);
+  if (abandoned_call_for) line << " abandoned_call_ms=" << *abandoned_call_for;
+  line << " unconfirmed_ms=" << unconfirmed_for;
+  return line.str();
+}
+
 std::function<void(const EndedCall&)> NotableCallLogger(std::function<void(const std::string&)> write_line) {
   return [write_line = std::move(write_line)](const EndedCall& call) {
     if (IsNotable(call)) write_line(FormatEndedCall(call));
--- a/src/membership/watch_log.hpp
+++ b/src/membership/watch_log.hpp
@@ -18,6 +18,7 @@
   Millis ended_at = 0;                   // Unix time
   Millis since_previous = 0;             // from the end of the previous call to the start of this one
   Millis elapsed = 0;                    // from its start to its end
+  Millis wait = 0;                       // how long it asked discovery to wait for news
   std::optional<WatchFailure> failure;   // unset if its list was accepted
   std::string detail;                    // an HTTP status or an error text; may be empty
   int consecutive_failures = 0;          // up to and including this call
@@ -31,10 +32,17 @@
 bool IsNotable(const EndedCall& call);
 
 // Returns the line, such as
-//   discovery call=7 at=17.041 ended=timeout gap_ms=100.2 after_ms=3100.4 failures=2 revision=40
-//   unconfirmed_ms=8200.5
+//   discovery call=7 at=17.041 ended=timeout gap_ms=100.2 after_ms=3100.4 wait_ms=2500 failures=2
+//   revision=40 unconfirmed_ms=8200.5
 std::string FormatEndedCall(const EndedCall& call);
 
+// Returns the line about a reloaded configuration, such as
+//   discovery address at=15.000 reloaded=10.2.0.1:8500 moved=yes abandoned_call_ms=210.4
+//   unconfirmed_ms=6500.1
+// `abandoned_call_for` is the age of the call that the change has ended, if any.
+std::string FormatReloadedAddress(Millis now, const std::string& address, bool has_moved,
+                                  std::optional<Millis> abandoned_call_for, Millis unconfirmed_for);
+
 // Returns a handler that passes the lines of notable calls to `write_line`.
 std::function<void(const EndedCall&)> NotableCallLogger(std::function<void(const std::string&)> write_line);
 
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -119,6 +119,8 @@
 
   const WatchTimes& times() const { return times_; }
   std::optional<std::int64_t> revision() const { return revision_; }
+  // How long the current call asks discovery to wait for news; 0 if it asks for the complete list.
+  Millis wait() const { return wait_; }
   // Failed calls since the last accepted list.
   int consecutive_failures() const { return failed_.calls; }
 
--- a/tests/watch_log_test.cpp
+++ b/tests/watch_log_test.cpp
@@ -13,6 +13,7 @@
 using gateway::EndedCall;
 using gateway::FormatEndedCall;
 using gateway::FormatHostChanges;
+using gateway::FormatReloadedAddress;
 using gateway::HostChanges;
 using gateway::IsNotable;
 using gateway::WatchFailure;
@@ -31,11 +32,12 @@
   call.ended_at = 17041;
   call.since_previous = 100.2;
   call.elapsed = 3100.4;
+  call.wait = 2500;
   call.revision = 40;
   call.unconfirmed_for = 8200.5;
   EXPECT_EQ(FormatEndedCall(call),
-            "discovery call=7 at=17.041 ended=timeout gap_ms=100.2 after_ms=3100.4 failures=2 revision=40 "
-            "unconfirmed_ms=8200.5");
+            "discovery call=7 at=17.041 ended=timeout gap_ms=100.2 after_ms=3100.4 wait_ms=2500 failures=2 "
+            "revision=40 unconfirmed_ms=8200.5");
   call.failure = WatchFailure::kErrorStatus;
   call.detail = "503";
   EXPECT_NE(FormatEndedCall(call).find("ended=error_status"), std::string::npos);
@@ -46,6 +48,15 @@
   EXPECT_NE(FormatEndedCall(call).find("revision=40 hosts=24 "), std::string::npos);
 }
 
+// Guards an incident's timeline against reloads that leave no line, and calls that end by one unseen.
+TEST(WatchLog, LineAboutAReloadedAddressNamesTheCallThatItEnds) {
+  EXPECT_EQ(FormatReloadedAddress(15000, "10.2.0.1:8500", true, 210.4, 6500.1),
+            "discovery address at=15.000 reloaded=10.2.0.1:8500 moved=yes abandoned_call_ms=210.4 "
+            "unconfirmed_ms=6500.1");
+  EXPECT_EQ(FormatReloadedAddress(15000, "10.2.0.1:8500", false, std::nullopt, 20),
+            "discovery address at=15.000 reloaded=10.2.0.1:8500 moved=no unconfirmed_ms=20.0");
+}
+
 // Guards against a log that fills up during an outage, or with watches that end without news.
 TEST(WatchLog, EverFewerCallsOfALongOutageAreNotable) {
   int lines = 0;
