--- a/tests/discovery_crowd_test.cpp
+++ b/tests/discovery_crowd_test.cpp
@@ -1,25 +1,20 @@
 // Many gateways and one discovery service that works through their calls in turn, simulated: how soon all of
-// them know the newest list after an outage. The gateways' decision modules and watch schedules are the real
-// ones; clock, service and network are simulated.
+// them know the newest list after an outage.
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cmath>
 #include <optional>
-#include <random>
 #include <tuple>
 #include <vector>
 
-#include "gateway.hpp"
-#include "membership/watch_schedule.hpp"
+#include "standins/simulated_caller.hpp"
 
 namespace opalswitch::testing {
 namespace {
 
 using gateway::WatchFailure;
-using gateway::WatchSchedule;
 
-constexpr Millis kTickMs = 10;
 // A change counts as known 6 s after discovery has it and can be reached; new work may go on for 0.5 s more.
 constexpr Millis kLatestEffect = 6500;
 
@@ -33,87 +28,25 @@
   Millis refuses_until = 0;  // calls before wait in the queue for `refused_after` and are refused
   Millis refused_after = 0;
 
-  struct Response {
-    Millis at;
-    bool is_list;
-  };
-  Response Call(Millis now) {
-    if (now < down_until) return {now, false};
-    if (now < refuses_until) return {now + refused_after, false};
-    if (busy_until - now > max_queue) return {now, false};
+  SimulatedResponse Call(Millis now) {
+    if (now < down_until) return {now, WatchFailure::kErrorStatus};
+    if (now < refuses_until) return {now + refused_after, WatchFailure::kErrorStatus};
+    if (busy_until - now > max_queue) return {now, WatchFailure::kErrorStatus};
     busy_until = std::max(busy_until, now) + call_cost;
-    if (busy_until > now + timeout) return {now + timeout, false};
-    return {busy_until, true};
+    if (busy_until > now + timeout) return {now + timeout, WatchFailure::kErrorStatus};
+    return {busy_until, std::nullopt};
   }
 };
 
-// A gateway whose watch has just been ended by discovery.
-class Caller {
- public:
-  Caller(int gateways, int index) : random_(static_cast<unsigned>(index) + 1), schedule_(41) {
-    Settings settings = MakeSettings();
-    settings.requires_watch = true;
-    settings.gateways = gateways;
-    settings.index = index;
-    gateway_.emplace(settings, static_cast<std::uint64_t>(index) + 1);
-    gateway_->SetServerCount(3);
-    gateway_->AdvanceTime(kMaxWatchRetryDelayMs + kTickMs);  // the first watch begins
-    gateway_->HandleEvent(MembershipUpdate{MembershipUpdate::Kind::kDelta, {}});
-    start_ = gateway_->now;
-    schedule_.BeginCall(Uniform());
-    Fail(WatchFailure::kClosed, 3000);
-  }
-
-  // Runs to `now` ms after the outage began.
-  void AdvanceTo(Millis now, QueueingService& service) {
-    const auto actions = gateway_->AdvanceTime(start_ + now - gateway_->now);
-    if (FakeGateway::CountActions<Watch>(actions) > 0) StartCall(now, service);
-    if (!response_) return;
-    const Millis times_out_at = called_at_ + schedule_.ResponseTimeout();
-    if (now < std::min(response_->at, times_out_at)) return;
-    const bool is_timeout = times_out_at < response_->at;
-    const bool is_list = response_->is_list && !is_timeout;
-    response_.reset();
-    if (is_list) {
-      known_at = now;
-    } else if (Fail(is_timeout ? WatchFailure::kTimeout : WatchFailure::kErrorStatus, now - called_at_)) {
-      StartCall(now, service);
-    }
-  }
-
-  std::optional<Millis> known_at;
-
- private:
-  double Uniform() { return std::uniform_real_distribution(0.0, 1.0)(random_); }
-  void StartCall(Millis now, QueueingService& service) {
-    schedule_.BeginCall(Uniform());
-    called_at_ = now;
-    response_ = service.Call(now);
-  }
-  // Returns whether the call is to be repeated at once.
-  bool Fail(WatchFailure failure, Millis elapsed) {
-    schedule_.RecordFailure(failure, elapsed, "");
-    if (schedule_.ShouldRetryImmediately(failure)) return true;
-    gateway_->HandleEvent(MembershipUpdate{MembershipUpdate::Kind::kFailed, {}, schedule_.Retry()});
-    return false;
-  }
-
-  std::mt19937 random_;
-  WatchSchedule schedule_;
-  std::optional<FakeGateway> gateway_;
-  Millis start_ = 0, called_at_ = 0;
-  std::optional<QueueingService::Response> response_;
-};
-
 // Returns when the last gateway knew the list, in ms after the end of the outage; infinity if some did not
 // within a minute.
 Millis TimeUntilAllKnow(int gateways, QueueingService service) {
   constexpr Millis kLimit = 60000;
-  std::vector<Caller> callers;
+  std::vector<SimulatedCaller> callers;
   for (int i = 0; i < gateways; ++i) callers.emplace_back(gateways, i);
   int known = 0;
   for (Millis now = 0; now < service.down_until + kLimit; now += kTickMs) {
-    for (Caller& caller : callers) {
+    for (SimulatedCaller& caller : callers) {
       if (caller.known_at) continue;
       caller.AdvanceTo(now, service);
       known += caller.known_at ? 1 : 0;
--- a/tests/membership_deadline_test.cpp
+++ b/tests/membership_deadline_test.cpp
@@ -30,6 +30,7 @@
 constexpr milliseconds kKnownAfterAddressChange(4000);
 constexpr milliseconds kDrainGrace(550);     // 500, and 50 on sockets
 constexpr milliseconds kMeasuringSlack(50);  // the hosts' event loop may be late
+constexpr milliseconds kAnswerTime(300);     // of a discovery service with some load
 constexpr milliseconds kRequestInterval(25);
 constexpr milliseconds kMaxTestTime(28000);
 
@@ -160,6 +161,42 @@
     ExpectNoLateRequests();
   }
 
+  // Discovery is down for kLongOutage, and back just after a call that it resets; h0 is removed then. The
+  // next calls fail by themselves, by `reactions` in turn, while discovery answers all others.
+  void ExpectNoLateRequestsAfterOutageAndCalls(int gateway_count, int fleet,
+                                               const std::vector<Reaction>& reactions) {
+    constexpr milliseconds kLongOutage(6000);
+    Start(gateway_count, SettingsFor(fleet), [=, this](WatchedGateway& gateway) {
+      gateway.discovery.delay = kAnswerTime;
+      gateway.discovery.react = [=, this, &gateway, down_since = std::optional<SteadyTime>(),
+                                 failed = std::size_t{0}](int) mutable {
+        const SteadyTime now = std::chrono::steady_clock::now();
+        if (!down_since) down_since = now;
+        if (now < *down_since + kLongOutage) return Reaction::kReset;
+        if (gateway.deadline) return failed < reactions.size() ? reactions[failed++] : Reaction::kServe;
+        RemoveFirstHost(gateway, kKnownAfterReachable);
+        return Reaction::kReset;
+      };
+    });
+    RunUntilAllKnow();
+    ExpectNoLateRequests();
+  }
+
+  // A watch falls silent as h0 is removed. The next calls fail, by `reactions` in turn.
+  void ExpectNoLateRequestsAfterSilentWatchAndCalls(const std::vector<Reaction>& reactions) {
+    Start(12, SettingsFor(181), [=, this](WatchedGateway& gateway) {
+      gateway.discovery.delay = kAnswerTime;
+      gateway.discovery.react = [=, this, &gateway](int call) {
+        const auto failed = static_cast<std::size_t>(call) - 2;
+        if (call > 1) return failed < reactions.size() ? reactions[failed] : Reaction::kServe;
+        RemoveFirstHostDuringSilentWatch(gateway);
+        return Reaction::kStaySilent;
+      };
+    });
+    RunUntilAllKnow();
+    ExpectNoLateRequests();
+  }
+
   // Runs until each gateway has had the newest list for longer than the grace.
   void RunUntilAllKnow() {
     const auto end = std::chrono::steady_clock::now() + kMaxTestTime;
@@ -256,6 +293,62 @@
   ExpectNoLateRequests();
 }
 
+// Guards servers that drain after an outage of discovery against new work when the next calls fail, too: the
+// time after which a change counts as known spans all failures, whatever their kind.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerWhenCallsFailAfterAnOutageInASmallFleet) {
+  ExpectNoLateRequestsAfterOutageAndCalls(6, 6, {Reaction::kReset, Reaction::kErrorStatus});
+}
+TEST_F(MembershipDeadline, NoWorkToARemovedServerWhenCallsFailAfterAnOutageInALargeFleet) {
+  ExpectNoLateRequestsAfterOutageAndCalls(12, 181, {Reaction::kErrorStatus, Reaction::kReset});
+}
+TEST_F(MembershipDeadline, NoWorkToARemovedServerWhenACallIsNeverAnsweredAfterAnOutageInASmallFleet) {
+  ExpectNoLateRequestsAfterOutageAndCalls(6, 6, {Reaction::kStaySilent, Reaction::kReset});
+}
+TEST_F(MembershipDeadline, NoWorkToARemovedServerWhenACallIsNeverAnsweredAfterAnOutageInALargeFleet) {
+  ExpectNoLateRequestsAfterOutageAndCalls(12, 181, {Reaction::kStaySilent});
+}
+
+// Guards servers that are removed while a watch is silent against new work when the call behind it is never
+// answered either.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterTwoSilentCallsInARow) {
+  ExpectNoLateRequestsAfterSilentWatchAndCalls({Reaction::kStaySilent});
+}
+
+// Guards servers that are removed before a series of SIGHUPs, each with a new address of discovery: no call
+// may have to start anew for as long as signals come faster than answers.
+TEST_F(MembershipDeadline, NoWorkToARemovedServerDuringASeriesOfMoves) {
+  constexpr milliseconds kMoveInterval(250);
+  constexpr int kMoves = 32;
+  std::vector<std::unique_ptr<DiscoveryService>> moved;
+  std::vector<std::unique_ptr<asio::steady_timer>> timers;
+  int moves_left = 0;
+  std::function<void(WatchedGateway&, asio::steady_timer&, int)> move =
+      [&](WatchedGateway& gateway, asio::steady_timer& timer, int n) {
+        DiscoveryService& next = *moved.emplace_back(std::make_unique<DiscoveryService>(io));
+        next.delay = kAnswerTime;
+        next.Publish({Member("h1", hosts[1]->peer.address())});
+        gateway.process->MoveDiscovery(next.address());
+        --moves_left;
+        if (n == 1) return;
+        timer.expires_after(kMoveInterval);
+        timer.async_wait([&, n](error_code ec) {
+          if (!ec) move(gateway, timer, n - 1);
+        });
+      };
+  Start(4, SettingsFor(6), [&](WatchedGateway& gateway) {
+    asio::steady_timer& timer = *timers.emplace_back(std::make_unique<asio::steady_timer>(io));
+    moves_left += kMoves;
+    gateway.discovery.react = [&](int call) {
+      if (call > 1) return Reaction::kServe;
+      RemoveFirstHost(gateway, kKnownAfterReachable);
+      move(gateway, timer, kMoves);
+      return Reaction::kServe;
+    };
+  });
+  EXPECT_TRUE(RunUntil(io, [&] { return moves_left == 0; }));
+  ExpectNoRequestsAfterDeadline();
+}
+
 // Guards servers that the list at a new address of discovery does not name: the time for that list is
 // shorter. At every other gateway the first call is never answered.
 TEST_F(MembershipDeadline, NoWorkToARemovedServerAfterDiscoveryHasMovedAndFailedCalls) {
--- a/tests/standins/faulty_environment.hpp
+++ b/tests/standins/faulty_environment.hpp
@@ -2,22 +2,13 @@
 #ifndef OPALSWITCH_TESTS_STANDINS_FAULTY_ENVIRONMENT_HPP_
 #define OPALSWITCH_TESTS_STANDINS_FAULTY_ENVIRONMENT_HPP_
 
-#include <cstdlib>
 #include <string>
 
 #include "process.hpp"
+#include "standins/test_seed.hpp"
 
 namespace opalswitch::testing {
 
-// Returns the number in an environment variable of the test, or `otherwise` if it is not set.
-inline unsigned EnvironmentNumber(const char* name, unsigned otherwise) {
-  const char* const text = std::getenv(name);
-  return text != nullptr ? static_cast<unsigned>(std::strtoul(text, nullptr, 10)) : otherwise;
-}
-
-// Returns FORKWICK_TEST_SEED, which replays a run with other delays and faults.
-inline unsigned TestSeed() { return EnvironmentNumber("FORKWICK_TEST_SEED", 1); }
-
 // Returns the environment of a program whose calls fail at these rates (see faulty_calls.cpp).
 inline Process::Variables FaultyCallsVariables(unsigned seed, const std::string& rates) {
   return {{"LD_PRELOAD", FAULTY_CALLS_LIBRARY},
