Discovery: the time until a list is known spans series of failed calls, not each call

Cause: each failed call was taken for proof that discovery could not be reached just then, and was followed by a delay of up to 4.75 s of its own (in a small fleet by doubling). A call that failed by itself behind an outage made the gap 9.5 s, and one without a response took up to 4.75 s more. The spread of first calls at the start is as it was.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -148,9 +148,9 @@
 };
 
 // Longest time from a membership request that fails to the next one. A change of the list counts as known to
-// the gateway 6 s after the source has it and can be reached; the rest of that time is for the request
-// itself.
-inline constexpr Millis kMaxWatchRetryDelayMs = 4750;
+// the gateway 6 s after the source has it and can be reached; the rest of that time is for the next request,
+// and for another one if that fails, too.
+inline constexpr Millis kMaxWatchRetryDelayMs = 3000;
 
 // When the next membership request after a failed one may start, counted from the failure.
 struct RetryWindow {
--- a/src/module/membership.cpp
+++ b/src/module/membership.cpp
@@ -13,18 +13,22 @@
 // Mean delay after the first failed membership request; doubles with each consecutive failure.
 constexpr Millis kInitialWatchBackoffMs = 100;
 constexpr Millis kMinWatchRetryDelayMs = 50;
+// Bound on the mean delay where few gateways share the source. A failure does not show that the source is
+// down, and a change counts as known soon although several requests fail.
+constexpr Millis kMaxWatchBackoffMs = 1000;
 // The longest delay before a membership request is this multiple of the mean one.
 constexpr double kMaxWatchRetryDelayFactor = 1.5;
 // Random part of the delay after a request that failed, rather than an established watch.
 constexpr double kWatchRetryJitter = 0.15;
 // Where all gateways make a membership request at the same time, they spread them over this time per gateway.
 constexpr Millis kWatchSpreadPerGatewayMs = 50;
+constexpr Millis kMaxWatchSpreadMs = 4750;
 // Minimum time per server between two selections of the subset of a large membership.
 constexpr Millis kSubsetUpdateMsPerServer = 0.02;
 
 Millis Policy::Impl::WatchSpread() const {
   return std::min({kWatchSpreadPerGatewayMs * (settings_.gateways - 1), settings_.max_watch_interval / 2,
-                   kMaxWatchRetryDelayMs});
+                   kMaxWatchSpreadMs});
 }
 
 // Exponential backoff, with at least the spread of all gateways: a membership source with a queue works
@@ -32,8 +36,8 @@
 // gateways at the same moment, so the next requests are spread over the whole delay. Requests that fail were
 // spread already, and keep their distance.
 Millis Policy::Impl::NextWatchRetryDelay(const RetryWindow& window) {
-  watch_backoff_ =
-      std::min(std::max(kInitialWatchBackoffMs, watch_backoff_ * 2), settings_.max_watch_interval / 2);
+  const Millis max_backoff = std::min(kMaxWatchBackoffMs, settings_.max_watch_interval / 2);
+  watch_backoff_ = std::min(std::max(kInitialWatchBackoffMs, watch_backoff_ * 2), max_backoff);
   if (window.earliest > 0) return window.earliest + (window.latest - window.earliest) * Uniform();
   const Millis longest =
       std::min(kMaxWatchRetryDelayFactor * std::max(watch_backoff_, WatchSpread()), window.latest);
