Discovery: a move of the address no longer discards the call that is out

Cause: SetAddress closed the current call and began anew. Moves that come faster than answers discard each call, so no list ever arrives. Class: a step that starts a wait anew on each of a series of events. Change: calls to former addresses (8 at most) go on until a later address has delivered a list; what they deliver before that is applied. Their failures count for nothing. A call's path and time-out are fixed when it begins, so that a call that is still connecting can go on, too.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -21,6 +21,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t kMaxListBytes = 8 << 20;  // of the body of a response
+// Calls to former addresses at a time, each with a descriptor of its own.
+constexpr std::size_t kMaxSupersededCalls = 8;
 
 }  // namespace
 
@@ -28,8 +30,11 @@
 struct Discovery::Call {
   explicit Call(asio::io_context& io) : timer(io) { parser.body_limit(kMaxListBytes); }
   Millis started_at = Now();
-  Millis sent_at = started_at;  // of the request, once the connection is up
-  Millis wait = 0;              // how long it asks discovery to wait for news
+  Millis sent_at = started_at;           // of the request, once the connection is up
+  Millis wait = 0;                       // how long it asks discovery to wait for news
+  Millis response_timeout = 0;           // from sending the request to the response's header
+  std::optional<std::int64_t> revision;  // known from the same service when it began
+  std::shared_ptr<tcp::socket> socket;   // may be shared with the next call
   asio::steady_timer timer;
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
@@ -60,22 +65,76 @@
   });
 }
 
+// The current call goes on until the new address has delivered a list: in a series of moves that come faster
+// than responses, each call would otherwise be discarded by the next move.
 void Discovery::SetAddress(const tcp::endpoint& address) {
   const bool has_moved = address != address_;
   const Millis now = Now();
-  const std::optional<Millis> abandoned_call_for =
+  const std::optional<Millis> superseded_call_for =
       has_moved && call_ ? std::optional(now - call_->started_at) : std::nullopt;
-  Log(FormatReloadedAddress(now, FormatEndpoint(address), has_moved, abandoned_call_for,
+  Log(FormatReloadedAddress(now, FormatEndpoint(address), has_moved, superseded_call_for,
                             now - confirmed_at_));
   if (!has_moved) return;
   address_ = address;
   schedule_.Reset();
   ++address_changes_;
-  Disconnect();
+  SupersedeCall();
   is_watching_ = true;
   StartCall();
 }
 
+void Discovery::SupersedeCall() {
+  if (!call_) return Disconnect();
+  superseded_calls_.push_back(std::exchange(call_, nullptr));
+  socket_.reset();
+  if (superseded_calls_.size() <= kMaxSupersededCalls) return;
+  const auto oldest = superseded_calls_.front();
+  EndSupersededCalls(oldest);
+}
+
+// Ends the calls to former addresses up to `last`, the newest that has delivered a list or is to be given up;
+// all of them if it is null.
+void Discovery::EndSupersededCalls(const std::shared_ptr<Call>& last) {
+  while (!superseded_calls_.empty()) {
+    const auto ended = superseded_calls_.front();
+    superseded_calls_.pop_front();
+    Close(*ended);
+    if (ended == last) return;
+  }
+}
+
+bool Discovery::IsSuperseded(const std::shared_ptr<Call>& call) const {
+  return std::find(superseded_calls_.begin(), superseded_calls_.end(), call) != superseded_calls_.end();
+}
+
+bool Discovery::IsPending(const std::shared_ptr<Call>& call) const {
+  return call == call_ || IsSuperseded(call);
+}
+
+// The list of a former address is newer than the one in effect, as long as no later call has delivered one.
+// The schedule concerns the new address alone.
+void Discovery::HandleSupersededResponse(const std::shared_ptr<Call>& call) {
+  const auto& response = call->parser.get();
+  auto list = response.result() == http::status::ok ? ParseHostList(response.body()) : std::nullopt;
+  const bool is_newer = list && (call->revision ? list->revision >= *call->revision : list->complete);
+  if (!is_newer) return RemoveSupersededCall(call);
+  EndSupersededCalls(call);
+  ReportEnd(*call, std::nullopt, "former address", schedule_.consecutive_failures(), &*list);
+  handlers_.on_update(std::move(*list));
+}
+
+void Discovery::RemoveSupersededCall(const std::shared_ptr<Call>& call) {
+  Close(*call);
+  std::erase(superseded_calls_, call);
+}
+
+void Discovery::Close(Call& call) {
+  call.timer.cancel();
+  if (!call.socket) return;
+  error_code ignored;
+  call.socket->close(ignored);
+}
+
 // Fails the call with `failure` after `timeout`, unless the timer is set again or cancelled before.
 void Discovery::SetTimeout(const std::shared_ptr<Call>& call, Millis timeout, WatchFailure failure) {
   call->timer.expires_after(ToDuration(timeout));
@@ -86,32 +145,34 @@
 
 void Discovery::StartCall() {
   const auto call = call_ = std::make_shared<Call>(io_);
+  call->revision = schedule_.revision();
+  call->request.method(http::verb::get);
+  call->request.target(schedule_.BeginCall(Uniform()));
+  call->request.set(http::field::host, address_.address().to_string());
+  call->wait = schedule_.wait();
+  call->response_timeout = schedule_.ResponseTimeout();
+  call->socket = socket_;
   if (socket_ != nullptr) return SendRequest(call);
   SetTimeout(call, schedule_.times().connect_timeout, WatchFailure::kConnectFailed);
-  socket_ = std::make_shared<tcp::socket>(io_);
-  socket_->async_connect(address_,
-                         [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec) {
-                           if (alive.expired() || call != call_) return;
-                           if (ec) return HandleFailure(call, WatchFailure::kConnectFailed, ec.message());
-                           SendRequest(call);
-                         });
+  socket_ = call->socket = std::make_shared<tcp::socket>(io_);
+  socket_->async_connect(address_, [this, call, alive = std::weak_ptr(alive_)](error_code ec) {
+    if (alive.expired() || !IsPending(call)) return;
+    if (ec) return HandleFailure(call, WatchFailure::kConnectFailed, ec.message());
+    SendRequest(call);
+  });
 }
 
 void Discovery::SendRequest(const std::shared_ptr<Call>& call) {
   call->sent_at = Now();
-  call->request.method(http::verb::get);
-  call->request.target(schedule_.BeginCall(Uniform()));
-  call->wait = schedule_.wait();
-  SetTimeout(call, schedule_.ResponseTimeout(), WatchFailure::kTimeout);
-  call->request.set(http::field::host, address_.address().to_string());
+  SetTimeout(call, call->response_timeout, WatchFailure::kTimeout);
   error_code ec;
-  socket_->non_blocking(true, ec);
+  call->socket->non_blocking(true, ec);
   if (ec) return HandleFailure(call, WatchFailure::kClosed, ec.message());
   std::ostringstream text;
   text << call->request;
-  WriteAll(*socket_, std::make_shared<SocketWriter>(text.str()),
-           [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code write_ec) {
-             if (alive.expired() || call != call_) return;
+  WriteAll(*call->socket, std::make_shared<SocketWriter>(text.str()),
+           [this, call, alive = std::weak_ptr(alive_)](error_code write_ec) {
+             if (alive.expired() || !IsPending(call)) return;
              if (write_ec) return HandleFailure(call, WatchFailure::kClosed, write_ec.message());
              ReadResponse(call);
            });
@@ -120,18 +181,18 @@
 // A watch may wait for its response header for a long time; the body must follow within a short one.
 void Discovery::ReadResponse(const std::shared_ptr<Call>& call) {
   http::async_read_header(
-      *socket_, call->buffer, call->parser,
-      [this, call, socket = socket_, alive = std::weak_ptr(alive_)](error_code ec, std::size_t) {
-        if (alive.expired() || call != call_) return;
+      *call->socket, call->buffer, call->parser,
+      [this, call, alive = std::weak_ptr(alive_)](error_code ec, std::size_t) {
+        if (alive.expired() || !IsPending(call)) return;
         const bool has_response_bytes = call->parser.got_some() || call->buffer.size() > 0;
         if (ec)
           return HandleFailure(call, has_response_bytes ? WatchFailure::kTruncated : WatchFailure::kClosed,
                                ec.message());
         if (call->parser.is_done()) return HandleResponse(call);
         SetTimeout(call, schedule_.times().body_timeout, WatchFailure::kTruncated);
-        http::async_read(*socket, call->buffer, call->parser,
-                         [this, call, socket, alive](error_code body_ec, std::size_t) {
-                           if (alive.expired() || call != call_) return;
+        http::async_read(*call->socket, call->buffer, call->parser,
+                         [this, call, alive](error_code body_ec, std::size_t) {
+                           if (alive.expired() || !IsPending(call)) return;
                            if (body_ec) {
                              return HandleFailure(call, WatchFailure::kTruncated, body_ec.message());
                            }
@@ -141,6 +202,7 @@
 }
 
 void Discovery::HandleResponse(const std::shared_ptr<Call>& call) {
+  if (call != call_) return HandleSupersededResponse(call);
   const auto& response = call->parser.get();
   if (response.result() != http::status::ok) {
     return HandleFailure(call, WatchFailure::kErrorStatus, std::to_string(response.result_int()));
@@ -151,6 +213,7 @@
     return HandleFailure(call, WatchFailure::kStaleRevision, std::to_string(list->revision));
   call->timer.cancel();
   call_.reset();
+  EndSupersededCalls(nullptr);
   if (!response.keep_alive()) socket_.reset();
   const int failures = schedule_.consecutive_failures();
   Log(schedule_.RecordSuccess(Now() - call->sent_at, !list->hosts.empty()));
@@ -170,6 +233,7 @@
 
 void Discovery::HandleFailure(const std::shared_ptr<Call>& call, WatchFailure failure,
                               const std::string& detail) {
+  if (IsSuperseded(call)) return RemoveSupersededCall(call);
   if (call != call_) return;
   Disconnect();
   Log(schedule_.RecordFailure(failure, Now() - call->sent_at, detail));
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -41,8 +42,8 @@
   void Watch();
   // Calls Watch() after the schedule's retry delay, for callers without a retry policy of their own.
   void WatchAfterDelay();
-  // Switches to another discovery service: abandons the current call and requests the complete list. Does
-  // nothing if the address is the same.
+  // Switches to another discovery service and requests its complete list. Does nothing if the address is the
+  // same. What calls to former addresses deliver before that list is applied, too.
   void SetAddress(const boost::asio::ip::tcp::endpoint& address);
 
  private:
@@ -60,13 +61,23 @@
                  int failures, const HostList* list);
   void Disconnect();
 
+  // Calls to former addresses.
+  void SupersedeCall();
+  void EndSupersededCalls(const std::shared_ptr<Call>& last);
+  void RemoveSupersededCall(const std::shared_ptr<Call>& call);
+  void HandleSupersededResponse(const std::shared_ptr<Call>& call);
+  bool IsSuperseded(const std::shared_ptr<Call>& call) const;
+  bool IsPending(const std::shared_ptr<Call>& call) const;
+  static void Close(Call& call);
+
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
   WatchSchedule schedule_;
   std::mt19937_64 random_;
   const Handlers handlers_;
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // reused by the calls of a watch
-  std::shared_ptr<Call> call_;                            // the current call; results of others are dropped
+  std::shared_ptr<Call> call_;                            // the current call
+  std::deque<std::shared_ptr<Call>> superseded_calls_;    // oldest first; results of any others are dropped
   std::uint64_t address_changes_ = 0;
   std::uint64_t calls_ended_ = 0;
   Millis last_call_ended_at_;
--- a/src/membership/watch_log.cpp
+++ b/src/membership/watch_log.cpp
@@ -49,11 +49,11 @@
 }
 
 std::string FormatReloadedAddress(Millis now, const std::string& address, bool has_moved,
-                                  std::optional<Millis> abandoned_call_for, Millis unconfirmed_for) {
+                                  std::optional<Millis> superseded_call_for, Millis unconfirmed_for) {
   std::ostringstream line;
   line << "discovery address at=" << FormatSeconds(now) << " reloaded=" << address
        << " moved=" << (has_moved ? "yes" : "no") << std::fixed << std::setprecision(1);
-  if (abandoned_call_for) line << " abandoned_call_ms=" << *abandoned_call_for;
+  if (superseded_call_for) line << " superseded_call_ms=" << *superseded_call_for;
   line << " unconfirmed_ms=" << unconfirmed_for;
   return line.str();
 }
--- a/src/membership/watch_log.hpp
+++ b/src/membership/watch_log.hpp
@@ -37,11 +37,11 @@
 std::string FormatEndedCall(const EndedCall& call);
 
 // Returns the line about a reloaded configuration, such as
-//   discovery address at=15.000 reloaded=10.2.0.1:8500 moved=yes abandoned_call_ms=210.4
+//   discovery address at=15.000 reloaded=10.2.0.1:8500 moved=yes superseded_call_ms=210.4
 //   unconfirmed_ms=6500.1
-// `abandoned_call_for` is the age of the call that the change has ended, if any.
+// `superseded_call_for` is the age of the call that the change has superseded, if any.
 std::string FormatReloadedAddress(Millis now, const std::string& address, bool has_moved,
-                                  std::optional<Millis> abandoned_call_for, Millis unconfirmed_for);
+                                  std::optional<Millis> superseded_call_for, Millis unconfirmed_for);
 
 // Returns a handler that passes the lines of notable calls to `write_line`.
 std::function<void(const EndedCall&)> NotableCallLogger(std::function<void(const std::string&)> write_line);
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -545,6 +545,67 @@
   EXPECT_NE(fixture.log_lines.at(0).find("older than the one known (40)"), std::string::npos);
 }
 
+// Guards against lists that are never received while the address changes faster than discovery responds: the
+// calls to former addresses go on until a later one has delivered a list.
+TEST(Discovery, ListsOfFormerAddressesCountUntilALaterAddressHasDeliveredOne) {
+  DiscoveryFixture fixture(LongTimes());
+  fixture.AwaitRequest(0);
+  Peer second(fixture.io), third(fixture.io);
+  fixture.discovery.SetAddress(second.address());
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return second.requests.size() == 1; }));
+  fixture.discovery.SetAddress(third.address());
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return third.requests.size() == 1; }));
+  const auto await_update = [&](std::size_t n) {
+    return RunUntil(fixture.io, [&] { return fixture.updates.size() == n; });
+  };
+  fixture.peer.requests[0].Answer(200, kDrainingHost);
+  ASSERT_TRUE(await_update(1));
+  second.requests[0].Answer(200, R"({"revision":7,"complete":true,"members":[]})");
+  ASSERT_TRUE(await_update(2));
+  EXPECT_EQ(fixture.updates[1].revision, 7);
+  third.requests[0].Answer(200, R"({"revision":3,"complete":true,"members":[]})");
+  ASSERT_TRUE(await_update(3));
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return third.requests.size() == 2; }));
+  EXPECT_EQ(std::string(third.requests[1].http.target()).find("/discovery/hosts?after=3&"), 0u);
+  EXPECT_EQ(fixture.failures, 0);
+}
+
+// Guards against the list of a former address that comes late and brings back hosts that drain.
+TEST(Discovery, ListOfAFormerAddressIsDroppedOnceALaterAddressHasDeliveredOne) {
+  DiscoveryFixture fixture(LongTimes());
+  fixture.AwaitRequest(0);
+  Peer second(fixture.io);
+  fixture.discovery.SetAddress(second.address());
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return second.requests.size() == 1; }));
+  fixture.peer.requests[0].connection->Raw("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{");
+  second.requests[0].Answer(200, R"({"revision":7,"complete":true,"members":[]})");
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return fixture.peer.connections[0]->ended; }));
+  ASSERT_EQ(fixture.updates.size(), 1u);
+  EXPECT_EQ(fixture.updates[0].revision, 7);
+  EXPECT_EQ(fixture.failures, 0);
+}
+
+// Guards against calls to former addresses without end: they are few, and their failures count for nothing.
+TEST(Discovery, CallsToFormerAddressesAreBoundedAndTheirFailuresIgnored) {
+  constexpr std::size_t kMoves = 12, kMaxFormerCalls = 8;
+  DiscoveryFixture fixture(LongTimes());
+  fixture.AwaitRequest(0);
+  std::vector<std::unique_ptr<Peer>> moved;
+  for (std::size_t i = 0; i < kMoves; ++i) {
+    Peer& next = *moved.emplace_back(std::make_unique<Peer>(fixture.io));
+    fixture.discovery.SetAddress(next.address());
+    ASSERT_TRUE(RunUntil(fixture.io, [&] { return next.requests.size() == 1; }));
+  }
+  constexpr std::size_t kOldestKept = kMoves - 1 - kMaxFormerCalls;
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return moved[kOldestKept - 1]->connections[0]->ended; }));
+  EXPECT_FALSE(moved[kOldestKept]->connections[0]->ended);
+  for (std::size_t i = kOldestKept; i < kMoves - 1; ++i) moved[i]->requests[0].connection->Reset();
+  moved.back()->requests[0].Answer(200, kDrainingHost);
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return fixture.updates.size() == 1; }));
+  EXPECT_EQ(fixture.failures, 0);
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return moved.back()->requests.size() == 2; }));
+}
+
 // Guards an incident's timeline against calls that are missing in the log, or whose list seems confirmed
 // while it was not.
 TEST(Discovery, ReportsTheEndOfEachCallAndTheAgeOfTheList) {
--- a/tests/watch_log_test.cpp
+++ b/tests/watch_log_test.cpp
@@ -48,10 +48,10 @@
   EXPECT_NE(FormatEndedCall(call).find("revision=40 hosts=24 "), std::string::npos);
 }
 
-// Guards an incident's timeline against reloads that leave no line, and calls that end by one unseen.
-TEST(WatchLog, LineAboutAReloadedAddressNamesTheCallThatItEnds) {
+// Guards an incident's timeline against reloads that leave no line.
+TEST(WatchLog, LineAboutAReloadedAddressNamesTheCallThatItSupersedes) {
   EXPECT_EQ(FormatReloadedAddress(15000, "10.2.0.1:8500", true, 210.4, 6500.1),
-            "discovery address at=15.000 reloaded=10.2.0.1:8500 moved=yes abandoned_call_ms=210.4 "
+            "discovery address at=15.000 reloaded=10.2.0.1:8500 moved=yes superseded_call_ms=210.4 "
             "unconfirmed_ms=6500.1");
   EXPECT_EQ(FormatReloadedAddress(15000, "10.2.0.1:8500", false, std::nullopt, 20),
             "discovery address at=15.000 reloaded=10.2.0.1:8500 moved=no unconfirmed_ms=20.0");
