Discovery: the first call at a new address is given up in time for another

What callers saw: nothing yet; found on reading FailureSeries again. Cause: a call for the whole list had 3.25 s whatever came before it, so one without a response behind a pause or a move took more than is left of 6 s. Change: it has 2.2 s like each call after a failure, doubling with each one in a row that has no response, to 3.25 s.

--- a/src/membership/failure_series.hpp
+++ b/src/membership/failure_series.hpp
@@ -34,7 +34,7 @@
   // When the next call after the last failure may start.
   const RetryWindow& Retry() const { return retry_; }
 
-  // Time that the next call has for its response, in addition to its wait. Not for an empty series.
+  // Time that the next call has for its response, in addition to its wait.
   Millis ResponseAllowance() const;
 
   int calls() const { return calls_; }
--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -46,13 +46,14 @@
 }
 
 Millis WatchSchedule::ResponseTimeout() const {
-  if (wait_ <= 0) return times_.max_response_timeout;
   const bool is_recovering = failures_.calls() > 0;
-  const Millis allowance = is_recovering ? failures_.ResponseAllowance() : times_.response_timeout;
+  const bool is_watch = wait_ > 0;
+  const Millis allowance =
+      is_recovering || !is_watch ? failures_.ResponseAllowance() : times_.response_timeout;
   const Millis timeout = wait_ + std::min(times_.max_response_timeout, 2 * queue_delay_ + allowance);
-  const Millis longest = is_recovering ? times_.max_retry_interval
-                                       : std::max(wait_ + times_.max_silence_after_wait, times_.max_silence);
-  return std::min(timeout, longest);
+  if (is_recovering) return std::min(timeout, times_.max_retry_interval);
+  if (!is_watch) return timeout;
+  return std::min(timeout, std::max(wait_ + times_.max_silence_after_wait, times_.max_silence));
 }
 
 Millis WatchSchedule::NextCallDelay(double uniform) const {
--- a/src/membership/watch_times.hpp
+++ b/src/membership/watch_times.hpp
@@ -19,12 +19,12 @@
   Millis mean_recovery_wait = 100;
   // Time-out for the response, in addition to the wait and to twice the queue delay.
   Millis response_timeout = 600;
-  // The same after a failed call. Doubles with each further consecutive time-out.
+  // The same after a failed call, and for a call that asks for the complete list without a wait. Doubles with
+  // each further consecutive time-out.
   Millis recovery_response_timeout = 2200;
   // The same for the first call after a watch that has fallen silent, whose changes count as known soon.
   Millis overdue_response_timeout = 1100;
-  // Bound on these and twice the queue delay together. Also the whole time-out of a call that asks for the
-  // complete list without a wait.
+  // Bound on these and twice the queue delay together.
   Millis max_response_timeout = 3250;
   // A watch is given up this long after its wait, or since its start if that is later, however long the queue
   // delay was: its change counts as known 2 s after the wait, or 6 s after the watch has fallen silent.
