--- a/tests/standins/discovery_service.hpp
+++ b/tests/standins/discovery_service.hpp
@@ -42,6 +42,11 @@
     for (const auto& watch : std::exchange(watches_, {})) Answer(watch);
   }
 
+  // Ends all open watches, as when the service goes down.
+  void EndWatches() {
+    for (const auto& watch : std::exchange(watches_, {})) watch.connection->Reset();
+  }
+
   // Answers the calls that were left silent by kServeOnReturn.
   void AnswerSilentCalls() {
     for (const auto& call : std::exchange(silent_calls_, {})) OnServedCall(call);
@@ -50,6 +55,7 @@
   // Called for each call, counted from 1, to choose what happens to it. All are served if it is not set.
   std::function<Reaction(int call)> react;
   std::function<void(int call)> on_refused;  // called after each 503
+  std::function<void()> on_written;          // called when a list with the newest revision has been written
   std::chrono::milliseconds delay{5};        // before each response or failure
 
   // How long the last call asked to wait for news.
@@ -107,6 +113,7 @@
         if (entry.changed_in > known && is_listed) changed.push_back(entry.member);
       }
       call.Answer(200, List(revision_, known == 0, changed).dump());
+      if (on_written) on_written();
       if (written_revision_ == revision_) return;
       written_revision_ = revision_;
       written_at_ = std::chrono::steady_clock::now();
--- a/tests/standins/faulty_traffic.hpp
+++ b/tests/standins/faulty_traffic.hpp
@@ -41,12 +41,14 @@
   }
 
   Peer peer;
+  std::optional<SteadyTime> last_attempt_at;
 
  private:
   void Serve(const Peer::ReceivedRequest& request) {
     RequestRecord& record = log_[std::string(request.http["Req-Id"])];
     ++record.attempts;
     record.last_attempt_at = std::chrono::steady_clock::now();
+    last_attempt_at = record.last_attempt_at;
     const unsigned outcome = random_() % 100;
     if (outcome < 4) return request.connection->Reset();
     if (outcome < 10) return AnswerLater(request, 503, "Srv-Declined", "1");
