Tests: a reload with a new address ends the former call once its list has come

Cause: Program.SighupReloadsConfigurationAndIgnoresBrokenFile waited for the old connection to end right after the move, and failed since the former call goes on until the new address has delivered a list (found by the whole Release suite). Change: as strict: the old connection stays open before that list, is closed after it, and the number of calls to the new address is exact.

--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -93,13 +93,16 @@
   std::ofstream(file.path) << config.dump();
   process.Hangup();
   ASSERT_TRUE(RunUntil(io, [&] { return moved.requests.size() == 1; }));
+  EXPECT_FALSE(old.connections[0]->ended);  // its list still counts
+  moved.requests[0].Answer(200, List(1, true, {}).dump());
   EXPECT_TRUE(RunUntil(io, [&] { return old.connections[0]->ended; }));
+  ASSERT_TRUE(RunUntil(io, [&] { return moved.requests.size() == 2; }));
   process.Hangup();
   process.Terminate();
   process.Hangup();
   EXPECT_TRUE(RunUntil(io, [&] { return process.HasExited(); }));
   EXPECT_EQ(process.Wait(), 0);
-  EXPECT_EQ(moved.requests.size(), 1u);
+  EXPECT_EQ(moved.requests.size(), 2u);
 }
 
 }  // namespace
