Log: the gap before a call of discovery is never negative

Seen: gap_ms=-0.19 in the line of a call that began before a call to a former address had ended, which a move of the address allows since calls to former addresses go on until a list has come. Operators who add the lines up would take away time. Such a call has no gap before it: 0.

ListsOfFormerAddressesCountUntilALaterAddressHasDeliveredOne checks each of its three calls; it failed before (-0.19) and passes.

--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -251,7 +251,8 @@
   EndedCall ended;
   ended.number = ++calls_ended_;
   ended.ended_at = now;
-  ended.since_previous = call.started_at - std::exchange(last_call_ended_at_, now);
+  // A call to a former address may end after the next one has begun.
+  ended.since_previous = std::max(0.0, call.started_at - std::exchange(last_call_ended_at_, now));
   ended.elapsed = now - call.started_at;
   ended.wait = call.wait;
   ended.failure = failure;
--- a/src/membership/watch_log.hpp
+++ b/src/membership/watch_log.hpp
@@ -14,11 +14,11 @@
 
 // A call of the discovery service that has ended.
 struct EndedCall {
-  std::uint64_t number = 0;              // counted from 1 since the start of the process
-  Millis ended_at = 0;                   // Unix time
-  Millis since_previous = 0;             // from the end of the previous call to the start of this one
-  Millis elapsed = 0;                    // from its start to its end
-  Millis wait = 0;                       // how long it asked discovery to wait for news
+  std::uint64_t number = 0;   // counted from 1 since the start of the process
+  Millis ended_at = 0;        // Unix time
+  Millis since_previous = 0;  // from the end of the previous call to the start of this one; 0 if they overlap
+  Millis elapsed = 0;         // from its start to its end
+  Millis wait = 0;            // how long it asked discovery to wait for news
   std::optional<WatchFailure> failure;   // unset if its list was accepted
   std::string detail;                    // an HTTP status or an error text; may be empty
   int consecutive_failures = 0;          // up to and including this call
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -568,6 +568,8 @@
   ASSERT_TRUE(RunUntil(fixture.io, [&] { return third.requests.size() == 2; }));
   EXPECT_EQ(std::string(third.requests[1].http.target()).find("/discovery/hosts?after=3&"), 0u);
   EXPECT_EQ(fixture.failures, 0);
+  ASSERT_EQ(fixture.ended_calls.size(), 3u);
+  for (const auto& call : fixture.ended_calls) EXPECT_GE(call.since_previous, 0);
 }
 
 // Guards against the list of a former address that comes late and brings back hosts that drain.
