--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -90,6 +90,22 @@
   }
 }
 
+// Guards servers that the list at a new address does not name against a call that takes up the time that is
+// left: 4 s after the change of the address, and 0.5 s of grace. Further calls have more time.
+TEST(WatchSchedule, CallForTheCompleteListIsGivenUpInTimeForAnother) {
+  constexpr Millis kKnownAfterAddressChange = 4000, kLeftForTheCall = 500;
+  WatchSchedule schedule(41);
+  schedule.Reset();
+  EXPECT_EQ(schedule.BeginCall(0.5), "/discovery/hosts");
+  const Millis first_call = schedule.ResponseTimeout();
+  EXPECT_EQ(first_call, schedule.times().recovery_response_timeout);
+  schedule.RecordFailure(WatchFailure::kTimeout, first_call, "");
+  EXPECT_LE(first_call + schedule.Retry().latest, kKnownAfterAddressChange - kLeftForTheCall);
+  schedule.RecordFailure(WatchFailure::kTimeout, first_call, "");
+  schedule.BeginCall(0.5);
+  EXPECT_EQ(schedule.ResponseTimeout(), schedule.times().max_retry_interval);
+}
+
 // Guards the same against a queue at discovery in the past, which lets calls have more time: a watch is given
 // up in time for another call whatever the queue was.
 TEST(WatchSchedule, SilentWatchIsGivenUpInTimeAfterLongQueues) {
@@ -138,6 +154,7 @@
   schedule.BeginCall(0.5);
   // The time-out allows for the queue.
   EXPECT_GT(schedule.ResponseTimeout(), schedule.times().mean_recovery_wait + 2000);
+  EXPECT_EQ(schedule.ResponseTimeout(), schedule.times().max_retry_interval);
   for (int i = 0; i < 40; ++i) {
     schedule.BeginCall(0.5);
     schedule.RecordSuccess(i == 0 ? 100 : 5001, i == 0);
@@ -283,13 +300,13 @@
   schedule.Reset();
   expect_cycles();
   schedule.Reset();
-  schedule.RecordFailure(WatchFailure::kErrorStatus, 1200, "503");
-  EXPECT_EQ(schedule.Retry().latest, 1200);
+  schedule.RecordFailure(WatchFailure::kErrorStatus, 1500, "503");
+  EXPECT_EQ(schedule.Retry().latest, 1500);
   schedule.BeginCall(0.5);
-  schedule.RecordFailure(WatchFailure::kTimeout, 1200, "");
+  schedule.RecordFailure(WatchFailure::kTimeout, 1500, "");
   EXPECT_EQ(schedule.Retry().latest, 100);
-  schedule.RecordFailure(WatchFailure::kTimeout, 1200, "");
-  EXPECT_EQ(schedule.Retry().latest, 1200);
+  schedule.RecordFailure(WatchFailure::kTimeout, 1500, "");
+  EXPECT_EQ(schedule.Retry().latest, 1500);
   schedule.RecordSuccess(100, true);
   schedule.RecordFailure(WatchFailure::kClosed, 3000, "");
   EXPECT_EQ(schedule.Retry().latest, pause);  // discovery has ended the watch, so nothing is missed
@@ -318,6 +335,7 @@
         EXPECT_EQ(fail(WatchFailure::kErrorStatus, 10), delay);
       for (const Millis delay : {100.0, pause - 2200, pause - 2200})
         EXPECT_EQ(fail(WatchFailure::kTimeout, 2200), delay);
+      for (int i = 0; i < 3; ++i) EXPECT_EQ(fail(WatchFailure::kTimeout, 3000), pause - 3000);
       EXPECT_EQ(fail(WatchFailure::kErrorStatus, elapsed), interval - elapsed);
       EXPECT_EQ(schedule.Retry().earliest, interval - elapsed);
       for (int i = 1; i < refusals; ++i) {
@@ -331,7 +349,8 @@
       // A connection that breaks behind the delay is no refusal, and is repeated once.
       for (int i = 0; i < 2; ++i) {
         EXPECT_EQ(fail(WatchFailure::kClosed, 10), 400);
-        EXPECT_GE(fail(WatchFailure::kClosed, 10), interval - 10);
+        EXPECT_EQ(fail(WatchFailure::kClosed, 10),
+                  refusals > 1 ? schedule.times().crowded_retry_delay : interval - 10);
       }
       schedule.RecordSuccess(100, true);
       fail(WatchFailure::kClosed, 3000);
@@ -343,13 +362,13 @@
 // Guards servers that are removed during an outage against new work after it: the time that a call takes to
 // fail is a part of the interval between calls, also for callers without a retry policy of their own.
 TEST(WatchSchedule, CallsAfterAFailureStartWithinTheRetryInterval) {
-  constexpr Millis kShortestRetryDelay = 20;
+  constexpr Millis kShortestRetryDelay = 20, kSlowRefusal = 500;
   std::mt19937 random(7);
   const auto uniform = [&random] { return std::uniform_real_distribution(0.0, 1.0)(random); };
   for (int outage = 0; outage < 200; ++outage) {
     WatchSchedule schedule(41);
     const WatchTimes& times = schedule.times();
-    bool was_refused = false;
+    bool was_refused = false, is_crowded = false;
     schedule.BeginCall(uniform());
     schedule.RecordFailure(WatchFailure::kClosed, 7000 * uniform(), "");
     EXPECT_LE(schedule.RetryDelay(uniform()), schedule.times().max_retry_interval);
@@ -362,9 +381,10 @@
       if (failure == WatchFailure::kErrorStatus) {
         // Several refusals that come slowly are the subject of CrowdedDiscoveryIsCalledRarelyButInTime...
         if (std::exchange(was_refused, true)) elapsed = std::min(elapsed, 400.0);
+        is_crowded = is_crowded || elapsed >= kSlowRefusal;
       }
       schedule.RecordFailure(failure, elapsed, "");
-      const Millis longest = was_refused ? times.crowded_retry_interval : times.max_retry_interval;
+      const Millis longest = is_crowded ? times.crowded_retry_interval : times.max_retry_interval;
       ASSERT_LE(elapsed + schedule.Retry().latest, longest);
       ASSERT_LE(elapsed + schedule.RetryDelay(uniform()), longest + kShortestRetryDelay);
     }
@@ -463,7 +483,8 @@
 WatchTimes LongTimes() {
   WatchTimes times;
   times.mean_wait = times.mean_recovery_wait = times.response_timeout = times.max_response_timeout =
-      times.body_timeout = times.max_retry_interval = times.max_silence = 600000;
+      times.recovery_response_timeout = times.overdue_response_timeout = times.body_timeout =
+          times.max_retry_interval = times.max_silence = 600000;
   return times;
 }
 
