HTTP server: a response announces that its connection is closed to make room

Seen by callers: beside many idle clients, requests sent right behind a response ended by a reset or an end of the connection.

Cause: above idle_eviction_threshold idle connections are closed after each response. If the others are new or busy, the one closed was that of the response just written, which had promised to keep it.

Now other idle connections are closed before the response is written, and if that is not enough the response carries Connection: close, as it does during a drain or with clients waiting. As many connections stay open as before.

HttpServer.AnnouncesTheCloseOfAConnectionThatMakesRoom failed and passes.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -394,12 +394,13 @@
     }
     const bool allows_keep_alive = response.keep_alive();
     response.version(http_version_);
-    // During a drain, or with clients waiting to connect, the connection is closed after this response,
+    server_.EvictIdleConnections();
+    // During a drain, or where connections are still to be closed, this one is closed after its response,
     // unless input that may be another request has arrived.
     error_code ec;
     const bool has_unread_input = buffer_.size() > 0 || socket_.available(ec) > 0;
-    keep_alive_ = keep_alive_ && allows_keep_alive &&
-                  (has_unread_input || !(server_.is_draining_ || server_.HasWaitingClients()));
+    const bool is_to_close = server_.is_draining_ || server_.HasWaitingClients() || server_.ShouldEvictIdle();
+    keep_alive_ = keep_alive_ && allows_keep_alive && (has_unread_input || !is_to_close);
     response.keep_alive(keep_alive_);
     PrepareBody(response);
     const auto writer = std::make_shared<SocketWriter>(ToText(response));
@@ -452,8 +453,6 @@
       ContinueReading();
     }
     if (server_.on_drained_ && IsIdle()) return Close(ConnectionEnd::kDrained);
-    while (server_.ShouldEvictIdle() && server_.EvictConnection(/*idle_only=*/true)) {
-    }
   }
 
   // Shuts down the sending side and discards input until the client closes. Closing with input unread would
@@ -633,6 +632,11 @@
   return sessions_.size() > limits_.idle_eviction_threshold && handlers_.is_ready();
 }
 
+void HttpServer::EvictIdleConnections() {
+  while (ShouldEvictIdle() && EvictConnection(/*idle_only=*/true)) {
+  }
+}
+
 bool HttpServer::EvictConnection(bool idle_only) {
   const Millis now = Now();
   std::shared_ptr<Session> candidate;
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -31,8 +31,9 @@
 
 struct HttpServerLimits {
   std::size_t max_connections = 256;
-  // With more connections than this, idle ones are closed after each response until the number is reached,
-  // unless the gateway is not ready.
+  // With more connections than this, idle ones are closed before each response until the number is reached,
+  // unless the gateway is not ready. If that is not enough, the response announces that its own connection is
+  // closed.
   std::size_t idle_eviction_threshold = 256;
   // Of all request bodies that are being read, together.
   std::uint64_t max_body_bytes = 16 << 20;
@@ -113,6 +114,7 @@
   // in the kernel's accept queue.
   bool HasWaitingClients() const;
   bool ShouldEvictIdle() const;
+  void EvictIdleConnections();
   // Closes the connection with the lowest EvictionPriority, and among equals the one that has been in its
   // phase for the longest time. With `idle_only` it leaves alone those that are new or have sent part of a
   // request. Returns whether one was closed.
