HTTP server: new connections with part of a request are closed last

Seen by callers: beside many idle clients, new connections whose first request came in pieces over 3 to 4 ms ended without an answer.

Cause: of the connections that are younger than new_connection_grace the oldest was closed to make room, whatever it had sent. Now those that have sent nothing go first.

HttpServer.EvictsNewSilentConnectionsBeforeOnesWithPartOfARequest failed on the commit before this one and passes.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -91,7 +91,8 @@
     if (phase_ != Phase::kReading || (HasPartialRequest() && responses_sent_ > 0))
       return EvictionPriority::kNotEvictable;
     if (responses_sent_ > 0) return EvictionPriority::kIdle;
-    if (now - phase_started_at_ < server_.limits_.new_connection_grace) return EvictionPriority::kNew;
+    if (now - phase_started_at_ < server_.limits_.new_connection_grace)
+      return HasPartialRequest() ? EvictionPriority::kNewPartialRequest : EvictionPriority::kNew;
     return HasPartialRequest() ? EvictionPriority::kPartialRequest : EvictionPriority::kNoRequest;
   }
   // Whether closing loses no request: the socket must hold no unread input, which might be a whole request.
@@ -646,8 +647,8 @@
     if (rank.first == EvictionPriority::kNotEvictable || (candidate && candidate_rank <= rank) ||
         !session->IsEvictable())
       continue;
-    if (idle_only &&
-        (rank.first == EvictionPriority::kPartialRequest || rank.first == EvictionPriority::kNew))
+    if (idle_only && rank.first != EvictionPriority::kLingering &&
+        rank.first != EvictionPriority::kNoRequest && rank.first != EvictionPriority::kIdle)
       continue;
     candidate = session;
     candidate_rank = rank;
--- a/src/http/http_server.hpp
+++ b/src/http/http_server.hpp
@@ -96,7 +96,15 @@
  private:
   class Session;
   // The order in which connections are closed when the limit on connections is reached.
-  enum class EvictionPriority { kLingering, kNoRequest, kPartialRequest, kIdle, kNew, kNotEvictable };
+  enum class EvictionPriority {
+    kLingering,
+    kNoRequest,
+    kPartialRequest,
+    kIdle,
+    kNew,
+    kNewPartialRequest,
+    kNotEvictable
+  };
   struct Listener;
   void Accept(const std::shared_ptr<Listener>& listener);
   void StartSession(const Listener& listener, boost::asio::ip::tcp::socket socket);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -138,6 +138,27 @@
   }
 }
 
+// Guards a client whose first request arrives in pieces against many new clients that send nothing: those are
+// closed first.
+TEST(HttpServer, EvictsNewSilentConnectionsBeforeOnesWithPartOfARequest) {
+  asio::io_context io;
+  gateway::HttpServerLimits limits;
+  limits.max_connections = 3;
+  limits.new_connection_grace = limits.first_request_timeout = limits.request_timeout = 60000;
+  gateway::HttpServer server(io, limits, {[] { return true; }, AdmitAll}, "/up");
+  const tcp::endpoint at = server.Listen("", Loopback());
+  Client slow(io, at);
+  slow.Send("GET /up HTTP/1.1\r\nHo");
+  std::vector<std::unique_ptr<Client>> silent_clients;
+  for (int i = 0; i < 10; ++i) silent_clients.push_back(std::make_unique<Client>(io, at));
+  EXPECT_TRUE(RunUntil(io, [&] {
+    return std::count_if(silent_clients.begin(), silent_clients.end(),
+                         [](const auto& client) { return client->ended(); }) == 8;
+  }));
+  slow.Send("st: b\r\n\r\n");
+  EXPECT_EQ(slow.Await().result(), http::status::ok);
+}
+
 // Guards a client that has connected and sent its request, and waits in the kernel's queue because all places
 // are taken, against being dropped when the listener is removed.
 TEST(HttpServer, ServesAQueuedConnectionThatGetsAPlaceAfterTheListenerWasRemoved) {
