Soak: drains that a long outage cuts short are checked in a test of their own

One test held both drains during which discovery could be reached and drains behind which it went down until after the 6 s.

--- a/tests/discovery_soak_test.cpp
+++ b/tests/discovery_soak_test.cpp
@@ -68,45 +68,66 @@
 // For the names of the tests.
 void PrintTo(const SoakCase& soak_case, std::ostream* out) { *out << soak_case.seed; }
 
-class DiscoverySoak : public ::testing::TestWithParam<SoakCase> {};
+// One run of a seed.
+class DiscoverySoak : public ::testing::TestWithParam<SoakCase> {
+ protected:
+  DiscoverySoak()
+      : run_(GetParam().seed, kHosts), discovery_(run_.io, GetParam().seed, run_.HostAddresses()) {}
+
+  void Play() {
+    const auto [seed, has_crowd] = GetParam();
+    constexpr int kFleets[] = {1, 6, 60, 181};
+    GatewayProcess::Options options;
+    options.hosts = run_.HostAddresses();
+    options.settings = SoakSettings();
+    options.settings["peersTotal"] = kFleets[seed % 4];
+    options.settings["rules"] = {{"askWithinMs", 10000.0}};
+    options.seed = std::to_string(seed);
+    options.discovery = discovery_.address();
+    options.variables = FaultyCallsVariables(seed, "interrupted=10 short=100 wakeup=20 clock=1");
+    if (has_crowd) options.limits = {{"sockets", kCrowdDescriptors}};
+    GatewayProcess gateway(run_.io, options);
+    discovery_.Start(gateway);
+    std::unique_ptr<IdleCrowd> crowd;
+    if (has_crowd) crowd = std::make_unique<IdleCrowd>(run_.io, gateway.address());
+
+    run_.Play(gateway, seed, kTrafficTime, [&] {
+      discovery_.Move(4, milliseconds(100));
+      gateway.process().Terminate();
+    });
+    discovery_.Stop();
+  }
+
+  void ExpectNoLateRequests(bool is_cut_by_outage) const {
+    for (const FaultyDiscovery::Drain& drain : discovery_.drains()) {
+      const auto last_attempt_at = run_.hosts[drain.host]->last_attempt_at;
+      if (!last_attempt_at || drain.known_at == SteadyTime::max()) continue;
+      if (drain.is_cut_by_outage != is_cut_by_outage) continue;
+      const auto late = *last_attempt_at - (drain.known_at + kDrainGrace + kMeasuringSlack);
+      EXPECT_LE(std::chrono::duration_cast<milliseconds>(late).count(), 0)
+          << "ms of work to h" << drain.host << " after the last moment\n"
+          << run_.gateway_log;
+    }
+  }
+
+  SoakRun run_;
+  FaultyDiscovery discovery_;
+};
 
 // Guards the rule of drains against series of failures of discovery and of signals, and the other rules
 // beside them.
 TEST_P(DiscoverySoak, NoWorkToDrainingServersAndEveryRequestAnsweredOnce) {
-  const auto [seed, has_crowd] = GetParam();
-  constexpr int kFleets[] = {1, 6, 60, 181};
-  SoakRun run(seed, kHosts);
-  FaultyDiscovery discovery(run.io, seed, run.HostAddresses());
-  GatewayProcess::Options options;
-  options.hosts = run.HostAddresses();
-  options.settings = SoakSettings();
-  options.settings["peersTotal"] = kFleets[seed % 4];
-  options.settings["rules"] = {{"askWithinMs", 10000.0}};
-  options.seed = std::to_string(seed);
-  options.discovery = discovery.address();
-  options.variables = FaultyCallsVariables(seed, "interrupted=10 short=100 wakeup=20 clock=1");
-  if (has_crowd) options.limits = {{"sockets", kCrowdDescriptors}};
-  GatewayProcess gateway(run.io, options);
-  discovery.Start(gateway);
-  std::unique_ptr<IdleCrowd> crowd;
-  if (has_crowd) crowd = std::make_unique<IdleCrowd>(run.io, gateway.address());
-
-  run.Play(gateway, seed, kTrafficTime, [&] {
-    discovery.Move(4, milliseconds(100));
-    gateway.process().Terminate();
-  });
-  discovery.Stop();
-
-  ExpectRulesKeptForRequests(run, seed);
-  EXPECT_GE(discovery.drains().size(), 3u) << "too few drains to show anything";
-  for (const FaultyDiscovery::Drain& drain : discovery.drains()) {
-    const auto last_attempt_at = run.hosts[drain.host]->last_attempt_at;
-    if (!last_attempt_at || drain.known_at == SteadyTime::max()) continue;
-    const auto late = *last_attempt_at - (drain.known_at + kDrainGrace + kMeasuringSlack);
-    EXPECT_LE(std::chrono::duration_cast<milliseconds>(late).count(), 0)
-        << "ms of work to h" << drain.host << " after the last moment\n"
-        << run.gateway_log;
-  }
+  Play();
+  ExpectRulesKeptForRequests(run_, GetParam().seed);
+  EXPECT_GE(discovery_.drains().size(), 3u) << "too few drains to show anything";
+  ExpectNoLateRequests(/*is_cut_by_outage=*/false);
+}
+
+// Guards the rule of drains where discovery goes down before a drain counts as known, and stays down until
+// then: calls that fail, or have not been made yet, may be all that it was reachable for.
+TEST_P(DiscoverySoak, NoWorkToServersThatDrainBeforeALongOutage) {
+  Play();
+  ExpectNoLateRequests(/*is_cut_by_outage=*/true);
 }
 
 // `count` seeds from that of the environment on.
--- a/tests/standins/faulty_discovery.hpp
+++ b/tests/standins/faulty_discovery.hpp
@@ -27,6 +27,7 @@
     std::size_t host = 0;
     std::optional<SteadyTime> written_at;  // when a list with it was first written to the gateway
     SteadyTime known_at;                   // when it counts as known at the latest, by the pages' rules
+    bool is_cut_by_outage = false;         // discovery went down before known_at, and stayed down until then
   };
 
   FaultyDiscovery(asio::io_context& io, unsigned seed, const std::vector<tcp::endpoint>& hosts)
@@ -128,12 +129,17 @@
     After(Between(500, 8000), [this] {
       is_down_ = true;
       for (const auto& service : services_) service->EndWatches();
+      for (Drain& drain : drains_) {
+        if (!drain.written_at && drain.known_at > Now()) drain.is_cut_by_outage = true;
+      }
       After(Between(100, 6000), [this] {
         is_down_ = false;
         failures_ = 0;
         // Changes that the gateway does not know yet count from the moment at which discovery is back.
         for (Drain& drain : drains_) {
-          if (!drain.written_at && drain.known_at > Now()) drain.known_at = KnownAt(Now());
+          if (drain.written_at || drain.known_at <= Now()) continue;
+          drain.known_at = KnownAt(Now());
+          drain.is_cut_by_outage = false;
         }
         ScheduleOutage();
       });
