--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,6 +21,20 @@
   return std::nullopt;
 }
 
+using Clients = std::vector<std::unique_ptr<Client>>;
+
+// Clients that have connected and sent nothing.
+Clients ConnectSilentClients(asio::io_context& io, const tcp::endpoint& address, std::size_t count) {
+  Clients clients;
+  for (std::size_t i = 0; i < count; ++i) clients.push_back(std::make_unique<Client>(io, address));
+  return clients;
+}
+
+// How many of them the server has disconnected.
+std::ptrdiff_t CountEnded(const Clients& clients) {
+  return std::count_if(clients.begin(), clients.end(), [](const auto& client) { return client->ended(); });
+}
+
 // Guards against connections held by clients that send nothing or only part of a request: they must be closed
 // in time, the latter with a 408.
 TEST(HttpServer, ClosesSilentConnectionsAndTimesOutPartialRequests) {
@@ -76,15 +91,12 @@
   Client usual(io, at);
   usual.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
   EXPECT_EQ(usual.Await().result(), http::status::ok);
-  std::vector<std::unique_ptr<Client>> silent_clients;
+  Clients silent_clients;
   for (int i = 0; i < 20; ++i) {
     silent_clients.push_back(std::make_unique<Client>(io, at));
     if (i % 2 == 0) silent_clients.back()->Send("GET /api HTT");
   }
-  EXPECT_TRUE(RunUntil(io, [&] {
-    return std::count_if(silent_clients.begin(), silent_clients.end(),
-                         [](const auto& c) { return c->ended(); }) >= 17;
-  }));
+  EXPECT_TRUE(RunUntil(io, [&] { return CountEnded(silent_clients) >= 17; }));
   EXPECT_FALSE(usual.ended());
   usual.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
   EXPECT_EQ(usual.Await(2).result(), http::status::ok);
@@ -100,8 +112,7 @@
   gateway::HttpServer server(io, limits, {[] { return true; }, AdmitAll}, "/up");
   const tcp::endpoint at = server.Listen("", Loopback());
   Client first(io, at);
-  std::vector<std::unique_ptr<Client>> new_clients;
-  for (int i = 0; i < 3; ++i) new_clients.push_back(std::make_unique<Client>(io, at));
+  const Clients new_clients = ConnectSilentClients(io, at, 3);
   ASSERT_TRUE(RunUntil(io, [&] { return server.connections() == 4; }));
   first.Send("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
   EXPECT_FALSE(first.Await().keep_alive());
@@ -149,12 +160,8 @@
   const tcp::endpoint at = server.Listen("", Loopback());
   Client slow(io, at);
   slow.Send("GET /up HTTP/1.1\r\nHo");
-  std::vector<std::unique_ptr<Client>> silent_clients;
-  for (int i = 0; i < 10; ++i) silent_clients.push_back(std::make_unique<Client>(io, at));
-  EXPECT_TRUE(RunUntil(io, [&] {
-    return std::count_if(silent_clients.begin(), silent_clients.end(),
-                         [](const auto& client) { return client->ended(); }) == 8;
-  }));
+  const Clients silent_clients = ConnectSilentClients(io, at, 10);
+  EXPECT_TRUE(RunUntil(io, [&] { return CountEnded(silent_clients) == 8; }));
   slow.Send("st: b\r\n\r\n");
   EXPECT_EQ(slow.Await().result(), http::status::ok);
 }
